--- a/coord/claim/claim_test.go
+++ b/coord/claim/claim_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 )
 
 func TestJudge(t *testing.T) {
@@ -63,11 +63,11 @@
 func TestBatchHoldsOneWriteOfARow(t *testing.T) {
 	is := is.New(t)
 	batch := new(Batch)
-	is.True(batch.Add(0, platform.Write{Key: "a"}))
-	is.True(!batch.Add(0, platform.Write{Key: "a"}))
+	is.True(batch.Add(0, store.Write{Key: "a"}))
+	is.True(!batch.Add(0, store.Write{Key: "a"}))
 	for i := range MaxBatch - 1 {
-		is.True(batch.Add(0, platform.Write{Key: string(rune('b' + i))}))
+		is.True(batch.Add(0, store.Write{Key: string(rune('b' + i))}))
 	}
-	is.True(!batch.Add(0, platform.Write{Key: "one too many"}))
+	is.True(!batch.Add(0, store.Write{Key: "one too many"}))
 	is.Equal(len(batch.Compares), MaxBatch)
 }
--- a/coord/lease/example_test.go
+++ b/coord/lease/example_test.go
@@ -7,17 +7,17 @@
 	"time"
 
 	"sassafrasnotch.example/coord/lease"
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 )
 
 // A second host takes over a term after the first stopped renewing, and a late
 // write of the first fails. The caller owns the clock and the table.
 func Example() {
 	ctx := context.Background()
-	table := platform.NewMemory()
-	row := func(key string) platform.Row {
+	table := store.NewMemory()
+	row := func(key string) store.Row {
 		found, err := table.Get(ctx, key)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
 			panic(err)
 		}
 		return found
@@ -39,8 +39,8 @@
 	fmt.Println("host-1:", step(first, time.Second))
 	fmt.Println("host-2:", step(second, time.Second))
 	fmt.Println("host-2:", step(second, 5*time.Second)) // host-1 is paused
-	late := []platform.Write{{Key: "move/orders", Value: []byte(`{}`)}}
-	fmt.Println("late:", errors.Is(table.Txn(ctx, []platform.Compare{first.Compare()}, late), platform.ErrConflict))
+	late := []store.Write{{Key: "move/orders", Value: []byte(`{}`)}}
+	fmt.Println("late:", errors.Is(table.Txn(ctx, []store.Compare{first.Compare()}, late), store.ErrConflict))
 	fmt.Println("host-1:", step(first, 6*time.Second))
 	// Output:
 	// host-1: acquire
--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -12,7 +12,7 @@
 	"fmt"
 	"time"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 )
 
 const (
@@ -44,8 +44,8 @@
 
 // View is both rows as just read; a row of version 0 is absent.
 type View struct {
-	Lease platform.Row
-	Fence platform.Row
+	Lease store.Row
+	Fence store.Row
 }
 
 // Kind is what a host is to do.
@@ -71,8 +71,8 @@
 // Decision is what a host is to do, with the transaction that does it.
 type Decision struct {
 	Kind     Kind
-	Compares []platform.Compare
-	Writes   []platform.Write
+	Compares []store.Compare
+	Writes   []store.Write
 }
 
 // Candidate is one process's part in one lease. It is not safe for concurrent
@@ -125,15 +125,15 @@
 
 // Compare returns what every write of the holder must compare: it holds for
 // exactly the tenure of this process.
-func (c *Candidate) Compare() platform.Compare {
-	return platform.Compare{Key: EpochKey(c.name), Version: c.fence}
+func (c *Candidate) Compare() store.Compare {
+	return store.Compare{Key: EpochKey(c.name), Version: c.fence}
 }
 
 // Release returns the writes that end the tenure; they go with Compare into one
 // transaction. Both rows are deleted: a later tenure gets a row of another
 // version, so a write that compares the deleted one still fails.
-func (c *Candidate) Release() []platform.Write {
-	return []platform.Write{
+func (c *Candidate) Release() []store.Write {
+	return []store.Write{
 		{Key: Key(c.name), Delete: true},
 		{Key: EpochKey(c.name), Delete: true},
 	}
@@ -171,18 +171,18 @@
 
 // encoded is a write or the reason why it could not be made.
 type encoded struct {
-	write platform.Write
+	write store.Write
 	err   error
 }
 
 func write(key string, value any) encoded {
 	data, err := json.Marshal(value)
-	return encoded{platform.Write{Key: key, Value: data}, err}
+	return encoded{store.Write{Key: key, Value: data}, err}
 }
 
 // decision compares both rows as they were read.
 func (c *Candidate) decision(kind Kind, view View, writes ...encoded) (Decision, error) {
-	d := Decision{Kind: kind, Compares: []platform.Compare{
+	d := Decision{Kind: kind, Compares: []store.Compare{
 		{Key: Key(c.name), Version: view.Lease.Version},
 		{Key: EpochKey(c.name), Version: view.Fence.Version},
 	}}
--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 )
 
 const testTerm = 3 * time.Second
@@ -17,11 +17,11 @@
 // fakeHost runs a candidate against a table on a clock of its own.
 type fakeHost struct {
 	*Candidate
-	table platform.Table
+	table store.Table
 	clock time.Duration
 }
 
-func newFakeHost(table platform.Table, name string, clock time.Duration) *fakeHost {
+func newFakeHost(table store.Table, name string, clock time.Duration) *fakeHost {
 	return &fakeHost{Candidate: New("move/orders", name, testTerm), table: table, clock: clock}
 }
 
@@ -44,12 +44,12 @@
 }
 
 func (h *fakeHost) write() error {
-	return h.table.Txn(context.Background(), []platform.Compare{h.Compare()}, []platform.Write{{Key: "x"}})
+	return h.table.Txn(context.Background(), []store.Compare{h.Compare()}, []store.Write{{Key: "x"}})
 }
 
 func TestTakeover(t *testing.T) {
 	is := is.New(t)
-	table := platform.NewMemory()
+	table := store.NewMemory()
 	a := newFakeHost(table, "a", time.Hour)
 	b := newFakeHost(table, "b", time.Minute)
 	is.Equal(a.tick(), Acquire)
@@ -64,7 +64,7 @@
 	}
 	is.Equal(b.tick(), Acquire)
 	is.Equal(b.tick(), Renew)
-	is.True(errors.Is(a.write(), platform.ErrConflict)) // a wakes unaware
+	is.True(errors.Is(a.write(), store.ErrConflict)) // a wakes unaware
 	is.NoErr(b.write())
 	is.Equal(a.tick(), Lost)
 	is.Equal(a.tick(), Wait)
@@ -75,34 +75,34 @@
 
 func TestRaceToAcquire(t *testing.T) {
 	is := is.New(t)
-	table := platform.NewMemory()
+	table := store.NewMemory()
 	a, b := newFakeHost(table, "a", 0), newFakeHost(table, "b", 0)
 	view := a.view()
 	first, _ := a.Decide(view, time.Second)
 	second, _ := b.Decide(view, time.Second)
 	is.NoErr(table.Txn(context.Background(), first.Compares, first.Writes))
-	is.True(errors.Is(table.Txn(context.Background(), second.Compares, second.Writes), platform.ErrConflict))
+	is.True(errors.Is(table.Txn(context.Background(), second.Compares, second.Writes), store.ErrConflict))
 	is.Equal(a.tick(), Renew)
 	is.Equal(b.tick(), Wait)
 }
 
 func TestReleaseFencesOldTenure(t *testing.T) {
 	is := is.New(t)
-	table := platform.NewMemory()
+	table := store.NewMemory()
 	a, b := newFakeHost(table, "a", 0), newFakeHost(table, "b", 0)
 	a.tick()
 	a.tick()
-	is.NoErr(table.Txn(context.Background(), []platform.Compare{a.Compare()}, a.Release()))
-	is.True(errors.Is(a.write(), platform.ErrConflict))
+	is.NoErr(table.Txn(context.Background(), []store.Compare{a.Compare()}, a.Release()))
+	is.True(errors.Is(a.write(), store.ErrConflict))
 	is.Equal(b.tick(), Acquire) // at once
 	b.tick()
-	is.True(errors.Is(a.write(), platform.ErrConflict))
+	is.True(errors.Is(a.write(), store.ErrConflict))
 	is.NoErr(b.write())
 }
 
 func ExampleCandidate() {
 	ctx := context.Background()
-	table := platform.NewMemory()
+	table := store.NewMemory()
 	candidate := New("move/orders", "host-1/7", 3*time.Second)
 	for second := range 2 {
 		var view View
@@ -113,7 +113,7 @@
 		fmt.Println(decision.Kind)
 	}
 	// A write of the holder carries the fencing token.
-	err := table.Txn(ctx, []platform.Compare{candidate.Compare()}, []platform.Write{{Key: "move/orders"}})
+	err := table.Txn(ctx, []store.Compare{candidate.Compare()}, []store.Write{{Key: "move/orders"}})
 	fmt.Println(err)
 	// Output:
 	// acquire
--- a/coord/revision/compact.go
+++ b/coord/revision/compact.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 )
 
 // Compact stores the snapshot and trims the log behind the oldest snapshot that
@@ -16,7 +16,7 @@
 // at any time; a host that loses the race does nothing.
 func (l *Log) Compact(ctx context.Context, snapshot *Snapshot) error {
 	row, newest, err := l.readPointer(ctx)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
 	if snapshot.revision < newest.Revision+snapshotSpacing {
@@ -34,16 +34,16 @@
 	if err != nil {
 		return err
 	}
-	if err := l.store.PutObject(ctx, snapshotObject(snapshot.revision), data); err != nil {
+	if err := l.backing.PutObject(ctx, snapshotObject(snapshot.revision), data); err != nil {
 		return fmt.Errorf("store snapshot %d: %w", snapshot.revision, err)
 	}
 	value, err := json.Marshal(pointer{Revision: snapshot.revision, Checksum: xxhash.Sum64(data)})
 	if err != nil {
 		return err
 	}
-	err = l.store.Txn(ctx,
-		[]platform.Compare{{Key: snapshotKey, Version: version}},
-		[]platform.Write{{Key: snapshotKey, Value: value}})
+	err = l.backing.Txn(ctx,
+		[]store.Compare{{Key: snapshotKey, Version: version}},
+		[]store.Write{{Key: snapshotKey, Value: value}})
 	if err != nil {
 		return fmt.Errorf("point at snapshot %d: %w", snapshot.revision, err)
 	}
@@ -58,20 +58,20 @@
 	}
 	floor := newest - kept
 	for {
-		rows, err := l.store.Scan(ctx, changePrefix, "", scanLimit)
+		rows, err := l.backing.Scan(ctx, changePrefix, "", scanLimit)
 		if err != nil {
 			return fmt.Errorf("trim the log: %w", err)
 		}
-		var writes []platform.Write
+		var writes []store.Write
 		for _, row := range rows {
 			if row.Key <= ChangeKey(floor) {
-				writes = append(writes, platform.Write{Key: row.Key, Delete: true})
+				writes = append(writes, store.Write{Key: row.Key, Delete: true})
 			}
 		}
 		if len(writes) == 0 {
 			break
 		}
-		if err := l.store.Txn(ctx, nil, writes); err != nil {
+		if err := l.backing.Txn(ctx, nil, writes); err != nil {
 			return fmt.Errorf("trim the log: %w", err)
 		}
 	}
@@ -87,7 +87,7 @@
 		first = floor - snapshotSpacing
 	}
 	for revision := first; revision <= floor; revision++ {
-		if err := l.store.DeleteObject(ctx, snapshotObject(revision)); err != nil {
+		if err := l.backing.DeleteObject(ctx, snapshotObject(revision)); err != nil {
 			return fmt.Errorf("delete snapshot %d: %w", revision, err)
 		}
 	}
--- a/coord/revision/example_test.go
+++ b/coord/revision/example_test.go
@@ -4,15 +4,15 @@
 	"context"
 	"fmt"
 
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/store"
 )
 
 // A writer appends a change to the log in the platform, and a reader catches up.
 func ExampleLog() {
 	ctx := context.Background()
-	store := platform.NewMemory()
-	writer, reader := revision.NewLog(store), revision.NewLog(store)
+	backing := store.NewMemory()
+	writer, reader := revision.NewLog(backing), revision.NewLog(backing)
 	written, _, err := writer.Append(ctx, revision.Empty(), "host-1/1", func(*revision.Snapshot) (revision.Draft, error) {
 		return revision.Draft{Put: []revision.Resource{
 			{Service: &revision.Service{Name: "orders"}},
--- a/coord/revision/fixture_test.go
+++ b/coord/revision/fixture_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"testing"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 )
 
 // base returns the resources of a small valid state.
@@ -31,10 +31,10 @@
 }
 
 // written returns a log with the base state and count further revisions.
-func written(t testing.TB, count int) (*platform.Memory, *Log, *Snapshot, []Encoded) {
+func written(t testing.TB, count int) (*store.Memory, *Log, *Snapshot, []Encoded) {
 	t.Helper()
-	store := platform.NewMemory()
-	log := NewLog(store)
+	backing := store.NewMemory()
+	log := NewLog(backing)
 	state, changes, err := log.Append(context.Background(), Empty(), "base", put(1, base()...))
 	if err != nil {
 		t.Fatal(err)
@@ -46,5 +46,5 @@
 		}
 		state, changes = next, append(changes, more...)
 	}
-	return store, log, state, changes
+	return backing, log, state, changes
 }
--- a/coord/revision/log.go
+++ b/coord/revision/log.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 )
 
 const (
@@ -45,11 +45,11 @@
 // Log reads and writes the linear log of changes in the platform. It keeps no
 // state of its own, so it is safe for concurrent use.
 type Log struct {
-	store platform.Store
+	backing store.Store
 }
 
 // NewLog returns the log kept in the store.
-func NewLog(store platform.Store) *Log { return &Log{store: store} }
+func NewLog(backing store.Store) *Log { return &Log{backing: backing} }
 
 // Draft is what a writer wants to append: the resources to change, and rows
 // that are compared and written in the same transaction.
@@ -57,8 +57,8 @@
 	Ticket   uint64
 	Put      []Resource
 	Delete   []Ref
-	Compares []platform.Compare
-	Writes   []platform.Write
+	Compares []store.Compare
+	Writes   []store.Write
 }
 
 // ChangeKey returns the row key of a revision; keys sort by revision.
@@ -75,7 +75,7 @@
 	return next, changes, err
 }
 
-func (l *Log) catchUp(ctx context.Context, base *Snapshot) (*Snapshot, []Encoded, platform.Row, error) {
+func (l *Log) catchUp(ctx context.Context, base *Snapshot) (*Snapshot, []Encoded, store.Row, error) {
 	row, current, err := l.readHead(ctx)
 	if err != nil || current.Revision <= base.revision {
 		return base, nil, row, err
@@ -96,11 +96,11 @@
 }
 
 // readHead returns the head row; an absent row is revision 0.
-func (l *Log) readHead(ctx context.Context) (platform.Row, head, error) {
+func (l *Log) readHead(ctx context.Context) (store.Row, head, error) {
 	var current head
-	row, err := l.store.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{Key: headKey}, current, nil
+	row, err := l.backing.Get(ctx, headKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Row{Key: headKey}, current, nil
 	}
 	if err != nil {
 		return row, current, fmt.Errorf("read head: %w", err)
@@ -116,7 +116,7 @@
 func (l *Log) replay(ctx context.Context, base *Snapshot, upTo uint64) (*Snapshot, []Encoded, error) {
 	var changes []Encoded
 	for base.revision < upTo {
-		rows, err := l.store.Scan(ctx, changePrefix, ChangeKey(base.revision), scanLimit)
+		rows, err := l.backing.Scan(ctx, changePrefix, ChangeKey(base.revision), scanLimit)
 		if err != nil {
 			return base, changes, fmt.Errorf("read changes after %d: %w", base.revision, err)
 		}
@@ -152,13 +152,13 @@
 // revision.
 func (l *Log) readSnapshot(ctx context.Context, after uint64) (*Snapshot, error) {
 	_, newest, err := l.readPointer(ctx)
-	if errors.Is(err, platform.ErrNotFound) || err == nil && newest.Revision <= after {
+	if errors.Is(err, store.ErrNotFound) || err == nil && newest.Revision <= after {
 		return nil, missing(after)
 	}
 	if err != nil {
 		return nil, err
 	}
-	data, err := l.store.GetObject(ctx, snapshotObject(newest.Revision))
+	data, err := l.backing.GetObject(ctx, snapshotObject(newest.Revision))
 	if err != nil {
 		return nil, fmt.Errorf("read snapshot %d: %w", newest.Revision, err)
 	}
@@ -168,9 +168,9 @@
 	return DecodeSnapshot(data)
 }
 
-func (l *Log) readPointer(ctx context.Context) (platform.Row, pointer, error) {
+func (l *Log) readPointer(ctx context.Context) (store.Row, pointer, error) {
 	var newest pointer
-	row, err := l.store.Get(ctx, snapshotKey)
+	row, err := l.backing.Get(ctx, snapshotKey)
 	if err != nil {
 		return row, newest, fmt.Errorf("read the snapshot row: %w", err)
 	}
@@ -185,9 +185,9 @@
 // first. The id names this append: after a lost answer the log is read back,
 // and a change with the id counts as written, so nothing is appended twice.
 //
-// The error wraps platform.ErrConflict if a compare of the draft did not hold,
-// ErrInvalid if the resulting state would be invalid, platform.ErrUnavailable
-// if nothing was written, or platform.ErrOutcomeUnknown if that can't be told.
+// The error wraps store.ErrConflict if a compare of the draft did not hold,
+// ErrInvalid if the resulting state would be invalid, store.ErrUnavailable
+// if nothing was written, or store.ErrOutcomeUnknown if that can't be told.
 func (l *Log) Append(ctx context.Context, base *Snapshot, id string, build func(*Snapshot) (Draft, error)) (*Snapshot, []Encoded, error) {
 	appender := appender{log: l, id: id, build: build, current: base}
 	for {
@@ -237,17 +237,17 @@
 		a.current = next
 		a.changes = append(a.changes, Encoded{Revision: change.Revision, Value: value})
 		return true, nil
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrOutcomeUnknown):
 		a.uncertain = true
 		return false, ctx.Err()
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return false, a.conflict(ctx, headRow, err)
 	}
 	return false, a.unknown(err)
 }
 
 // refresh catches up and looks for the own change among what came.
-func (a *appender) refresh(ctx context.Context) (bool, platform.Row, error) {
+func (a *appender) refresh(ctx context.Context) (bool, store.Row, error) {
 	next, changes, row, err := a.log.catchUp(ctx, a.current)
 	if err != nil {
 		return false, row, err
@@ -285,7 +285,7 @@
 
 // conflict tells a lost race for the head, which is retried, from a compare of
 // the draft that did not hold, which is the caller's to handle.
-func (a *appender) conflict(ctx context.Context, old platform.Row, conflict error) error {
+func (a *appender) conflict(ctx context.Context, old store.Row, conflict error) error {
 	row, _, err := a.log.readHead(ctx)
 	if err != nil {
 		return a.unknown(err)
@@ -298,24 +298,24 @@
 
 // unknown marks an error after a write whose outcome was never read back.
 func (a *appender) unknown(err error) error {
-	if a.uncertain && !errors.Is(err, platform.ErrOutcomeUnknown) {
-		return fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
+	if a.uncertain && !errors.Is(err, store.ErrOutcomeUnknown) {
+		return fmt.Errorf("%w: %w", store.ErrOutcomeUnknown, err)
 	}
 	return err
 }
 
 // write commits a change with the rows of its draft.
-func (l *Log) write(ctx context.Context, headRow platform.Row, next *Snapshot, value []byte, draft Draft) error {
+func (l *Log) write(ctx context.Context, headRow store.Row, next *Snapshot, value []byte, draft Draft) error {
 	newHead, err := json.Marshal(head{Revision: next.revision, Hash: next.hash})
 	if err != nil {
 		return err
 	}
-	compares := append([]platform.Compare{{Key: headKey, Version: headRow.Version}}, draft.Compares...)
-	writes := append([]platform.Write{
+	compares := append([]store.Compare{{Key: headKey, Version: headRow.Version}}, draft.Compares...)
+	writes := append([]store.Write{
 		{Key: headKey, Value: newHead},
 		{Key: ChangeKey(next.revision), Value: value},
 	}, draft.Writes...)
-	if err := l.store.Txn(ctx, compares, writes); err != nil {
+	if err := l.backing.Txn(ctx, compares, writes); err != nil {
 		return fmt.Errorf("append revision %d: %w", next.revision, err)
 	}
 	return nil
--- a/coord/revision/log_test.go
+++ b/coord/revision/log_test.go
@@ -9,12 +9,12 @@
 
 	"github.com/matryer/is"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 )
 
 // faulty fails chosen transactions.
 type faulty struct {
-	*platform.Memory
+	*store.Memory
 	mu     sync.Mutex
 	faults []txnFault
 }
@@ -25,7 +25,7 @@
 	err   error
 }
 
-func (f *faulty) Txn(ctx context.Context, compares []platform.Compare, writes []platform.Write) error {
+func (f *faulty) Txn(ctx context.Context, compares []store.Compare, writes []store.Write) error {
 	f.mu.Lock()
 	var fault txnFault
 	if len(f.faults) > 0 {
@@ -41,7 +41,7 @@
 }
 
 func TestAppendAfterLostAnswers(t *testing.T) {
-	lost := platform.ErrOutcomeUnknown
+	lost := store.ErrOutcomeUnknown
 	tests := []struct {
 		name     string
 		faults   []txnFault
@@ -52,8 +52,8 @@
 		{"answer lost after the write", []txnFault{{apply: true, err: lost}}, 2, nil},
 		{"request lost before the write", []txnFault{{err: lost}}, 2, nil},
 		{"lost twice, written the second time", []txnFault{{err: lost}, {apply: true, err: lost}}, 2, nil},
-		{"refused", []txnFault{{err: platform.ErrUnavailable}}, 1, platform.ErrUnavailable},
-		{"lost before the write, then refused", []txnFault{{err: lost}, {err: platform.ErrUnavailable}}, 1, platform.ErrOutcomeUnknown},
+		{"refused", []txnFault{{err: store.ErrUnavailable}}, 1, store.ErrUnavailable},
+		{"lost before the write, then refused", []txnFault{{err: lost}, {err: store.ErrUnavailable}}, 1, store.ErrOutcomeUnknown},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -91,17 +91,17 @@
 	is := is.New(t)
 	_, log, state, _ := written(t, 0)
 	_, _, err := log.Append(context.Background(), state, "x", func(*Snapshot) (Draft, error) {
-		return Draft{Put: []Resource{shares(1)}, Compares: []platform.Compare{{Key: "lease/x", Version: 9}}}, nil
+		return Draft{Put: []Resource{shares(1)}, Compares: []store.Compare{{Key: "lease/x", Version: 9}}}, nil
 	})
-	is.True(errors.Is(err, platform.ErrConflict))
+	is.True(errors.Is(err, store.ErrConflict))
 }
 
 func TestCatchUpFromATrimmedLog(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	store, log, state, _ := written(t, 4*snapshotSpacing)
+	backing, log, state, _ := written(t, 4*snapshotSpacing)
 	is.NoErr(log.Compact(ctx, state))
-	rows, err := store.Scan(ctx, changePrefix, "", 0)
+	rows, err := backing.Scan(ctx, changePrefix, "", 0)
 	is.NoErr(err)
 	is.Equal(len(rows), keptSnapshots*snapshotSpacing) // the log is bounded
 	newest, _, err := log.CatchUp(ctx, Empty())
@@ -113,35 +113,35 @@
 	ctx := context.Background()
 	tests := []struct {
 		name   string
-		damage func(is *is.I, store *platform.Memory)
+		damage func(is *is.I, backing *store.Memory)
 		want   error
 	}{
-		{"truncated change", func(is *is.I, store *platform.Memory) {
-			row, err := store.Get(ctx, ChangeKey(3))
+		{"truncated change", func(is *is.I, backing *store.Memory) {
+			row, err := backing.Get(ctx, ChangeKey(3))
 			is.NoErr(err)
-			is.NoErr(store.Txn(ctx, nil, []platform.Write{{Key: row.Key, Value: row.Value[:len(row.Value)/2]}}))
+			is.NoErr(backing.Txn(ctx, nil, []store.Write{{Key: row.Key, Value: row.Value[:len(row.Value)/2]}}))
 		}, ErrCorrupt},
-		{"change with other content", func(is *is.I, store *platform.Memory) {
+		{"change with other content", func(is *is.I, backing *store.Memory) {
 			change := &Change{Revision: 3, Ticket: 3, Put: []Resource{shares(5000)}, StateHash: 1}
 			value, err := change.Encode()
 			is.NoErr(err)
-			is.NoErr(store.Txn(ctx, nil, []platform.Write{{Key: ChangeKey(3), Value: value}}))
+			is.NoErr(backing.Txn(ctx, nil, []store.Write{{Key: ChangeKey(3), Value: value}}))
 		}, ErrHash},
-		{"change with a dangling reference", func(is *is.I, store *platform.Memory) {
+		{"change with a dangling reference", func(is *is.I, backing *store.Memory) {
 			split := &Split{Service: "counter", Shares: []Share{{Version: "v9", Weight: FullShare}}}
 			change := &Change{Revision: 3, Put: []Resource{{Split: split}}}
 			value, err := change.Encode()
 			is.NoErr(err)
-			is.NoErr(store.Txn(ctx, nil, []platform.Write{{Key: ChangeKey(3), Value: value}}))
+			is.NoErr(backing.Txn(ctx, nil, []store.Write{{Key: ChangeKey(3), Value: value}}))
 		}, ErrInvalid},
-		{"absent change", func(is *is.I, store *platform.Memory) {
-			is.NoErr(store.Txn(ctx, nil, []platform.Write{{Key: ChangeKey(3), Delete: true}}))
+		{"absent change", func(is *is.I, backing *store.Memory) {
+			is.NoErr(backing.Txn(ctx, nil, []store.Write{{Key: ChangeKey(3), Delete: true}}))
 		}, ErrCorrupt},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			store, log, _, changes := written(t, 4)
+			backing, log, _, changes := written(t, 4)
 			second := Empty()
 			for _, encoded := range changes[:2] {
 				change, err := DecodeChange(encoded.Value)
@@ -149,7 +149,7 @@
 				second, err = second.Apply(change)
 				is.NoErr(err)
 			}
-			test.damage(is, store)
+			test.damage(is, backing)
 			next, read, err := log.CatchUp(ctx, second)
 			is.True(errors.Is(err, test.want))
 			is.Equal(next, second) // nothing of it is applied
--- a/coord/platform/platform.go
+++ b/coord/store/store.go
@@ -1,7 +1,7 @@
-// Package platform declares the storage service that the coordination parts
+// Package store declares the storage service that the coordination parts
 // depend on: a transactional table and an object store. Implementations live
 // elsewhere; mesh/platformhttp is one over HTTP, Memory in this package another.
-package platform
+package store
 
 import (
 	"context"
@@ -11,14 +11,14 @@
 // Errors that every implementation reports, wrapped with the step and the peer.
 var (
 	// ErrNotFound means that the row or object does not exist.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("store: not found")
 	// ErrConflict means that a compare did not hold; nothing was written.
-	ErrConflict = errors.New("platform: conflict")
+	ErrConflict = errors.New("store: conflict")
 	// ErrUnavailable means that the operation certainly did not take effect.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("store: unavailable")
 	// ErrOutcomeUnknown means that a write may or may not have taken effect.
 	// The caller reads back before it decides.
-	ErrOutcomeUnknown = errors.New("platform: outcome unknown")
+	ErrOutcomeUnknown = errors.New("store: outcome unknown")
 )
 
 // Row is one row of the table. Version grows with every write to any row, so a
--- a/coord/platform/platformtest/contract.go
+++ b/coord/store/storetest/contract.go
@@ -1,6 +1,6 @@
-// Package platformtest checks that an implementation of platform.Store keeps
+// Package storetest checks that an implementation of store.Store keeps
 // the contract that the coordination parts rely on.
-package platformtest
+package storetest
 
 import (
 	"bytes"
@@ -11,14 +11,14 @@
 	"sync"
 	"testing"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 )
 
 // Run checks the store that open returns; each case gets an empty one.
-func Run(t *testing.T, open func(t *testing.T) platform.Store) {
+func Run(t *testing.T, open func(t *testing.T) store.Store) {
 	cases := []struct {
 		name  string
-		check func(ctx context.Context, s platform.Store) error
+		check func(ctx context.Context, s store.Store) error
 	}{
 		{"an absent row is not found", absentRow},
 		{"a row reads back with a version", readBack},
@@ -48,11 +48,11 @@
 	return nil
 }
 
-func put(ctx context.Context, s platform.Store, key, value string) error {
-	return s.Txn(ctx, nil, []platform.Write{{Key: key, Value: []byte(value)}})
+func put(ctx context.Context, s store.Store, key, value string) error {
+	return s.Txn(ctx, nil, []store.Write{{Key: key, Value: []byte(value)}})
 }
 
-func expectValue(ctx context.Context, s platform.Store, key, want string) error {
+func expectValue(ctx context.Context, s store.Store, key, want string) error {
 	row, err := s.Get(ctx, key)
 	if err != nil {
 		return err
@@ -63,26 +63,26 @@
 	return nil
 }
 
-func absentRow(ctx context.Context, s platform.Store) error {
+func absentRow(ctx context.Context, s store.Store) error {
 	_, err := s.Get(ctx, "absent")
-	return expect(err, platform.ErrNotFound)
+	return expect(err, store.ErrNotFound)
 }
 
-func readBack(ctx context.Context, s platform.Store) error {
+func readBack(ctx context.Context, s store.Store) error {
 	if err := put(ctx, s, "a", "1"); err != nil {
 		return err
 	}
 	return expectValue(ctx, s, "a", "1")
 }
 
-func emptyValue(ctx context.Context, s platform.Store) error {
+func emptyValue(ctx context.Context, s store.Store) error {
 	if err := put(ctx, s, "a", ""); err != nil {
 		return err
 	}
 	return expectValue(ctx, s, "a", "")
 }
 
-func failedCompare(ctx context.Context, s platform.Store) error {
+func failedCompare(ctx context.Context, s store.Store) error {
 	if err := put(ctx, s, "a", "1"); err != nil {
 		return err
 	}
@@ -90,28 +90,28 @@
 	if err != nil {
 		return err
 	}
-	compares := []platform.Compare{{Key: "a", Version: row.Version}, {Key: "b", Version: row.Version}}
-	writes := []platform.Write{{Key: "a", Value: []byte("2")}, {Key: "c"}}
-	if err := expect(s.Txn(ctx, compares, writes), platform.ErrConflict); err != nil {
+	compares := []store.Compare{{Key: "a", Version: row.Version}, {Key: "b", Version: row.Version}}
+	writes := []store.Write{{Key: "a", Value: []byte("2")}, {Key: "c"}}
+	if err := expect(s.Txn(ctx, compares, writes), store.ErrConflict); err != nil {
 		return err
 	}
-	if _, err := s.Get(ctx, "c"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := s.Get(ctx, "c"); !errors.Is(err, store.ErrNotFound) {
 		return fmt.Errorf("a refused transaction wrote a row: %v", err)
 	}
 	return expectValue(ctx, s, "a", "1")
 }
 
-func requireAbsence(ctx context.Context, s platform.Store) error {
+func requireAbsence(ctx context.Context, s store.Store) error {
 	create := func() error {
-		return s.Txn(ctx, []platform.Compare{{Key: "a"}}, []platform.Write{{Key: "a", Value: []byte("1")}})
+		return s.Txn(ctx, []store.Compare{{Key: "a"}}, []store.Write{{Key: "a", Value: []byte("1")}})
 	}
 	if err := create(); err != nil {
 		return err
 	}
-	return expect(create(), platform.ErrConflict)
+	return expect(create(), store.ErrConflict)
 }
 
-func recreatedRow(ctx context.Context, s platform.Store) error {
+func recreatedRow(ctx context.Context, s store.Store) error {
 	if err := put(ctx, s, "a", "1"); err != nil {
 		return err
 	}
@@ -119,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.Txn(ctx, nil, []platform.Write{{Key: "a", Delete: true}}); err != nil {
+	if err := s.Txn(ctx, nil, []store.Write{{Key: "a", Delete: true}}); err != nil {
 		return err
 	}
 	if err := put(ctx, s, "a", "1"); err != nil {
@@ -135,14 +135,14 @@
 	return nil
 }
 
-func compareOnly(ctx context.Context, s platform.Store) error {
-	if err := s.Txn(ctx, []platform.Compare{{Key: "a"}}, nil); err != nil {
+func compareOnly(ctx context.Context, s store.Store) error {
+	if err := s.Txn(ctx, []store.Compare{{Key: "a"}}, nil); err != nil {
 		return err
 	}
-	return expect(s.Txn(ctx, []platform.Compare{{Key: "a", Version: 7}}, nil), platform.ErrConflict)
+	return expect(s.Txn(ctx, []store.Compare{{Key: "a", Version: 7}}, nil), store.ErrConflict)
 }
 
-func scanPages(ctx context.Context, s platform.Store) error {
+func scanPages(ctx context.Context, s store.Store) error {
 	want := []string{"p/1", "p/2", "p/3", "p/4", "p/5"}
 	for _, key := range []string{"p/3", "q/1", "p/1", "p/5", "o/9", "p/2", "p/4"} {
 		if err := put(ctx, s, key, key); err != nil {
@@ -173,14 +173,14 @@
 	return nil
 }
 
-func racingWriters(ctx context.Context, s platform.Store) error {
+func racingWriters(ctx context.Context, s store.Store) error {
 	const writers = 8
 	results := make([]error, writers)
 	var wg sync.WaitGroup
 	for i := range writers {
 		wg.Go(func() {
-			writes := []platform.Write{{Key: "lease", Value: fmt.Appendf(nil, "%d", i)}}
-			results[i] = s.Txn(ctx, []platform.Compare{{Key: "lease"}}, writes)
+			writes := []store.Write{{Key: "lease", Value: fmt.Appendf(nil, "%d", i)}}
+			results[i] = s.Txn(ctx, []store.Compare{{Key: "lease"}}, writes)
 		})
 	}
 	wg.Wait()
@@ -191,14 +191,14 @@
 			return fmt.Errorf("writers %d and %d both won", winner, i)
 		case err == nil:
 			winner = i
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, store.ErrConflict):
 			return err
 		}
 	}
 	return expectValue(ctx, s, "lease", fmt.Sprint(winner))
 }
 
-func objects(ctx context.Context, s platform.Store) error {
+func objects(ctx context.Context, s store.Store) error {
 	for _, data := range [][]byte{{0, 1, 255}, []byte("second"), {}} {
 		if err := s.PutObject(ctx, "o/1", data); err != nil {
 			return err
@@ -217,10 +217,10 @@
 		}
 	}
 	_, err := s.GetObject(ctx, "o/1")
-	return expect(err, platform.ErrNotFound)
+	return expect(err, store.ErrNotFound)
 }
 
-func unusualKeys(ctx context.Context, s platform.Store) error {
+func unusualKeys(ctx context.Context, s store.Store) error {
 	for _, key := range []string{"a/b c", "a?b=c&d", "a%2Fb", "ä#b+c"} {
 		if err := put(ctx, s, key, key); err != nil {
 			return err
--- a/integration/damage_test.go
+++ b/integration/damage_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/matryer/is"
 
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 	"sassafrasnotch.example/integration/cluster"
 	"sassafrasnotch.example/integration/faultproxy"
@@ -56,7 +56,7 @@
 	is := is.New(s.t)
 	status, err := json.Marshal(w.ticket)
 	is.NoErr(err)
-	is.NoErr(s.Platform().Txn(s.t.Context(), nil, []platform.Write{
+	is.NoErr(s.Platform().Txn(s.t.Context(), nil, []store.Write{
 		{Key: "head", Value: w.head},
 		{Key: revision.ChangeKey(w.change.Revision), Value: value},
 		{Key: registrar.TicketKey(w.ticket.Number), Value: status},
--- a/mesh/adminserver/server.go
+++ b/mesh/adminserver/server.go
@@ -10,7 +10,7 @@
 	"github.com/gin-gonic/gin"
 	"go.uber.org/zap"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 	"sassafrasnotch.example/mesh/admin"
 	"sassafrasnotch.example/mesh/jsonc"
@@ -189,11 +189,11 @@
 	case errors.Is(err, registrar.ErrNumberUsed):
 		status = http.StatusUnprocessableEntity
 		answer.Reasons = []string{err.Error()}
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		status = http.StatusNotFound
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrOutcomeUnknown):
 		status = http.StatusGatewayTimeout
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, context.DeadlineExceeded), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, context.DeadlineExceeded), errors.Is(err, store.ErrConflict):
 		status = http.StatusServiceUnavailable
 	}
 	c.JSON(status, answer)
--- a/mesh/claim/claimer.go
+++ b/mesh/claim/claimer.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/claim"
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/steperr"
 )
 
@@ -21,7 +21,7 @@
 
 // Claimer claims keys for this daemon. It is safe for concurrent use.
 type Claimer struct {
-	store   *store
+	table   *tableBackend
 	backend backend
 	log     *zap.Logger
 	lateFor time.Duration
@@ -33,13 +33,13 @@
 }
 
 // New returns a claimer that writes to the table by itself.
-func New(table platform.Table, log *zap.Logger) *Claimer {
+func New(table store.Table, log *zap.Logger) *Claimer {
 	return newClaimer(table, log, batchInterval, time.Now)
 }
 
-func newClaimer(table platform.Table, log *zap.Logger, interval time.Duration, now func() time.Time) *Claimer {
-	local := &store{table: table, writer: newWriter(table, interval), now: now}
-	c := &Claimer{store: local, backend: local, log: log, lateFor: lateFor, room: make(chan struct{}, maxSettling)}
+func newClaimer(table store.Table, log *zap.Logger, interval time.Duration, now func() time.Time) *Claimer {
+	local := &tableBackend{table: table, writer: newWriter(table, interval), now: now}
+	c := &Claimer{table: local, backend: local, log: log, lateFor: lateFor, room: make(chan struct{}, maxSettling)}
 	c.stopped, c.stop = context.WithCancel(context.Background())
 	return c
 }
@@ -52,7 +52,7 @@
 	if err == nil {
 		return decision, nil
 	}
-	if !errors.Is(err, platform.ErrUnavailable) {
+	if !errors.Is(err, store.ErrUnavailable) {
 		// A write may still take effect; without this the key would stay taken
 		// for a request that never ran.
 		c.releaseLate(request)
--- a/mesh/claim/claimer_test.go
+++ b/mesh/claim/claimer_test.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/claim"
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 )
 
 // fault is what becomes of one transaction.
@@ -28,7 +28,7 @@
 
 // faultyTable is a table whose transactions meet faults in turn.
 type faultyTable struct {
-	*platform.Memory
+	*store.Memory
 	mutex  sync.Mutex
 	faults []fault
 	blind  bool
@@ -48,35 +48,35 @@
 	return first
 }
 
-func (f *faultyTable) Txn(ctx context.Context, compares []platform.Compare, writes []platform.Write) error {
+func (f *faultyTable) Txn(ctx context.Context, compares []store.Compare, writes []store.Write) error {
 	switch f.next() {
 	case unavailable:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case lostBefore:
-		return platform.ErrOutcomeUnknown
+		return store.ErrOutcomeUnknown
 	case lostAfter, noReads:
 		_ = f.Memory.Txn(ctx, compares, writes)
-		return platform.ErrOutcomeUnknown
+		return store.ErrOutcomeUnknown
 	}
 	return f.Memory.Txn(ctx, compares, writes)
 }
 
-func (f *faultyTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (f *faultyTable) Get(ctx context.Context, key string) (store.Row, error) {
 	f.mutex.Lock()
 	blind := f.blind
 	f.blind = false
 	f.mutex.Unlock()
 	if blind {
-		return platform.Row{}, platform.ErrUnavailable
+		return store.Row{}, store.ErrUnavailable
 	}
 	return f.Memory.Get(ctx, key)
 }
 
 func newTable(faults ...fault) *faultyTable {
-	return &faultyTable{Memory: platform.NewMemory(), faults: faults}
+	return &faultyTable{Memory: store.NewMemory(), faults: faults}
 }
 
-func testClaimer(table platform.Table) *Claimer {
+func testClaimer(table store.Table) *Claimer {
 	claimer := newClaimer(table, zap.NewNop(), time.Millisecond, time.Now)
 	claimer.lateFor = time.Millisecond // one try
 	return claimer
@@ -114,7 +114,7 @@
 			if err == nil {
 				got = decision.Verdict
 			} else {
-				is.True(errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOutcomeUnknown))
+				is.True(errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrOutcomeUnknown))
 			}
 			is.Equal(got, test.want)
 			first.Close(t.Context())
@@ -176,7 +176,7 @@
 	is.True(err != nil)
 	claimer.Close(t.Context())
 	_, err = table.Memory.Get(t.Context(), claim.RowKey("orders", "k"))
-	is.True(errors.Is(err, platform.ErrNotFound))
+	is.True(errors.Is(err, store.ErrNotFound))
 }
 
 // Of many arrivals under one key, through several claimers at once, one is
@@ -211,7 +211,7 @@
 	w := newWriter(table, time.Hour)
 	var results []<-chan error
 	for i := range 3 * claim.MaxBatch {
-		results = append(results, w.submit(0, platform.Write{Key: fmt.Sprint(i)}))
+		results = append(results, w.submit(0, store.Write{Key: fmt.Sprint(i)}))
 	}
 	w.flush()
 	for _, result := range results {
@@ -229,7 +229,7 @@
 		row := claim.NewRow(&claim.Request{Attempt: "a"}, now.Add(time.Duration(-i%2)*2*claim.Life))
 		value, err := row.Encode()
 		is.NoErr(err)
-		is.NoErr(table.Memory.Txn(t.Context(), nil, []platform.Write{{Key: claim.RowKey("orders", fmt.Sprint(i)), Value: value}}))
+		is.NoErr(table.Memory.Txn(t.Context(), nil, []store.Write{{Key: claim.RowKey("orders", fmt.Sprint(i)), Value: value}}))
 	}
 	deleted, err := claimer.Sweep(t.Context())
 	is.NoErr(err)
--- a/mesh/claim/remote.go
+++ b/mesh/claim/remote.go
@@ -10,8 +10,8 @@
 
 	"sassafrasnotch.example/coord/claim"
 	"sassafrasnotch.example/coord/gossip"
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/rendezvous"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 	"sassafrasnotch.example/mesh/steperr"
 )
@@ -39,9 +39,9 @@
 
 // NewZoned returns a claimer that hands its claims to the two batching daemons
 // of its zone, and writes them by itself when neither answers.
-func NewZoned(self Self, members Members, peers Peers, table platform.Table, log *zap.Logger) *Claimer {
+func NewZoned(self Self, members Members, peers Peers, table store.Table, log *zap.Logger) *Claimer {
 	c := New(table, log)
-	c.backend = &zoneBackend{self: self, members: members, peers: peers, local: c.store, timeout: remoteTimeout}
+	c.backend = &zoneBackend{self: self, members: members, peers: peers, local: c.table, timeout: remoteTimeout}
 	return c
 }
 
@@ -51,7 +51,7 @@
 	self    Self
 	members Members
 	peers   Peers
-	local   *store
+	local   *tableBackend
 	timeout time.Duration // of an exchange with a batching daemon
 }
 
@@ -161,5 +161,5 @@
 	case peerpb.ClaimResult_CLAIM_RESULT_ABSENT:
 		return errAbsent
 	}
-	return fmt.Errorf("%w: result %v", platform.ErrOutcomeUnknown, result)
+	return fmt.Errorf("%w: result %v", store.ErrOutcomeUnknown, result)
 }
--- a/mesh/claim/remote_test.go
+++ b/mesh/claim/remote_test.go
@@ -13,7 +13,7 @@
 
 	"sassafrasnotch.example/coord/claim"
 	"sassafrasnotch.example/coord/gossip"
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
@@ -37,7 +37,7 @@
 	asked  map[string]int
 }
 
-func newZone(table platform.Table, names ...string) *zone {
+func newZone(table store.Table, names ...string) *zone {
 	z := &zone{hosts: map[string]*Claimer{}, faults: map[string]peerFault{}, asked: map[string]int{}}
 	for _, name := range names {
 		claimer := NewZoned(Self{Host: name, Zone: "a"}, z, z, table, zap.NewNop())
--- a/mesh/claim/serve.go
+++ b/mesh/claim/serve.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"sassafrasnotch.example/coord/claim"
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
@@ -18,11 +18,11 @@
 	request := requestOf(message)
 	switch {
 	case message.GetOutcome() != nil:
-		return replyOf(c.store.record(ctx, request, outcomeOf(message.GetOutcome())))
+		return replyOf(c.table.record(ctx, request, outcomeOf(message.GetOutcome())))
 	case message.GetRelease():
-		return replyOf(c.store.release(ctx, request))
+		return replyOf(c.table.release(ctx, request))
 	}
-	decision, err := c.store.claim(ctx, request)
+	decision, err := c.table.claim(ctx, request)
 	if err != nil {
 		return replyOf(err)
 	}
@@ -56,7 +56,7 @@
 		return peerpb.ClaimResult_CLAIM_RESULT_NOT_HELD
 	case errors.Is(err, errAbsent):
 		return peerpb.ClaimResult_CLAIM_RESULT_ABSENT
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		return peerpb.ClaimResult_CLAIM_RESULT_UNAVAILABLE
 	}
 	return peerpb.ClaimResult_CLAIM_RESULT_UNSPECIFIED
--- a/mesh/claim/store.go
+++ b/mesh/claim/store.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"sassafrasnotch.example/coord/claim"
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 )
 
 // maxRounds bounds the write and read back rounds of one claim.
@@ -22,16 +22,16 @@
 )
 
 // backend makes one try of an operation. An error that wraps
-// platform.ErrUnavailable means that it certainly had no effect.
+// store.ErrUnavailable means that it certainly had no effect.
 type backend interface {
 	claim(context.Context, *claim.Request) (claim.Decision, error)
 	record(context.Context, *claim.Request, *claim.Outcome) error
 	release(context.Context, *claim.Request) error
 }
 
-// store is the backend that writes to the platform's table.
-type store struct {
-	table  platform.Table
+// tableBackend is the backend that writes to the platform's table.
+type tableBackend struct {
+	table  store.Table
 	writer *writer
 	now    func() time.Time
 }
@@ -39,7 +39,7 @@
 // claim writes the row where it is absent or expired, and otherwise judges by
 // what it finds. A write whose outcome is unknown is followed by a read; the
 // same attempt may be written again, since it recognises itself.
-func (s *store) claim(ctx context.Context, request *claim.Request) (claim.Decision, error) {
+func (s *tableBackend) claim(ctx context.Context, request *claim.Request) (claim.Decision, error) {
 	var version uint64 // of the row to replace; 0 is absent
 	uncertain := false // an earlier write may have taken effect
 	for range maxRounds {
@@ -71,13 +71,13 @@
 // may have had.
 func doubt(err error, uncertain bool) error {
 	if uncertain {
-		return errors.Join(platform.ErrOutcomeUnknown, errors.New(err.Error()))
+		return errors.Join(store.ErrOutcomeUnknown, errors.New(err.Error()))
 	}
 	return err
 }
 
 // record writes the outcome into the attempt's own row.
-func (s *store) record(ctx context.Context, request *claim.Request, outcome *claim.Outcome) error {
+func (s *tableBackend) record(ctx context.Context, request *claim.Request, outcome *claim.Outcome) error {
 	row, version, err := s.held(ctx, request)
 	if err != nil || row.Outcome != nil {
 		return err
@@ -87,16 +87,16 @@
 }
 
 // release deletes the attempt's own row.
-func (s *store) release(ctx context.Context, request *claim.Request) error {
+func (s *tableBackend) release(ctx context.Context, request *claim.Request) error {
 	row, version, err := s.held(ctx, request)
 	if err != nil || row.Outcome != nil {
 		return err
 	}
-	return s.write(ctx, version, platform.Write{Key: request.RowKey(), Delete: true})
+	return s.write(ctx, version, store.Write{Key: request.RowKey(), Delete: true})
 }
 
 // held reads the attempt's own row.
-func (s *store) held(ctx context.Context, request *claim.Request) (*claim.Row, uint64, error) {
+func (s *tableBackend) held(ctx context.Context, request *claim.Request) (*claim.Row, uint64, error) {
 	row, version, err := s.read(ctx, request.RowKey())
 	switch {
 	case err != nil:
@@ -109,28 +109,28 @@
 	return row, version, nil
 }
 
-func (s *store) put(ctx context.Context, request *claim.Request, row *claim.Row, version uint64) error {
+func (s *tableBackend) put(ctx context.Context, request *claim.Request, row *claim.Row, version uint64) error {
 	value, err := row.Encode()
 	if err != nil {
 		return err
 	}
-	return s.write(ctx, version, platform.Write{Key: request.RowKey(), Value: value})
+	return s.write(ctx, version, store.Write{Key: request.RowKey(), Value: value})
 }
 
 // write waits for a write. When the context ends first, its outcome is unknown.
-func (s *store) write(ctx context.Context, version uint64, write platform.Write) error {
+func (s *tableBackend) write(ctx context.Context, version uint64, write store.Write) error {
 	select {
 	case err := <-s.writer.submit(version, write):
 		return err
 	case <-ctx.Done():
-		return errors.Join(platform.ErrOutcomeUnknown, ctx.Err())
+		return errors.Join(store.ErrOutcomeUnknown, ctx.Err())
 	}
 }
 
 // read returns a claim's row with its version; no row and 0 if it is absent.
-func (s *store) read(ctx context.Context, key string) (*claim.Row, uint64, error) {
+func (s *tableBackend) read(ctx context.Context, key string) (*claim.Row, uint64, error) {
 	stored, err := s.table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -140,6 +140,6 @@
 	return row, stored.Version, err
 }
 
-func isConflict(err error) bool { return errors.Is(err, platform.ErrConflict) }
+func isConflict(err error) bool { return errors.Is(err, store.ErrConflict) }
 
-func isUnknown(err error) bool { return errors.Is(err, platform.ErrOutcomeUnknown) }
+func isUnknown(err error) bool { return errors.Is(err, store.ErrOutcomeUnknown) }
--- a/mesh/claim/sweep.go
+++ b/mesh/claim/sweep.go
@@ -9,8 +9,8 @@
 
 	"sassafrasnotch.example/coord/claim"
 	"sassafrasnotch.example/coord/gossip"
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/rendezvous"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/steperr"
 )
 
@@ -58,7 +58,7 @@
 func (c *Claimer) Sweep(ctx context.Context) (int, error) {
 	deleted, after := 0, ""
 	for {
-		rows, err := c.store.table.Scan(ctx, claim.Prefix, after, sweepPage)
+		rows, err := c.table.table.Scan(ctx, claim.Prefix, after, sweepPage)
 		if err != nil {
 			return deleted, steperr.Wrap(err, "sweep claims: scan", peerPlatform)
 		}
@@ -76,19 +76,19 @@
 
 // deleteExpired skips a page in which a row changed meanwhile; the next sweep
 // finds it again.
-func (c *Claimer) deleteExpired(ctx context.Context, rows []platform.Row) (int, error) {
+func (c *Claimer) deleteExpired(ctx context.Context, rows []store.Row) (int, error) {
 	batch := new(claim.Batch)
 	for _, stored := range rows {
 		row, err := claim.DecodeRow(stored.Value)
-		if err == nil && row.Expired(c.store.now()) {
-			batch.Add(stored.Version, platform.Write{Key: stored.Key, Delete: true})
+		if err == nil && row.Expired(c.table.now()) {
+			batch.Add(stored.Version, store.Write{Key: stored.Key, Delete: true})
 		}
 	}
 	if len(batch.Writes) == 0 {
 		return 0, nil
 	}
-	err := c.store.table.Txn(ctx, batch.Compares, batch.Writes)
-	if errors.Is(err, platform.ErrConflict) {
+	err := c.table.table.Txn(ctx, batch.Compares, batch.Writes)
+	if errors.Is(err, store.ErrConflict) {
 		return 0, nil
 	}
 	return len(batch.Writes), err
--- a/mesh/claim/writer.go
+++ b/mesh/claim/writer.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"sassafrasnotch.example/coord/claim"
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 )
 
 const (
@@ -18,7 +18,7 @@
 
 // writer gathers conditional writes of rows into transactions.
 type writer struct {
-	table    platform.Table
+	table    store.Table
 	interval time.Duration
 
 	mutex   sync.Mutex
@@ -28,17 +28,17 @@
 // pendingWrite is a write whose result arrives on done.
 type pendingWrite struct {
 	version uint64
-	write   platform.Write
+	write   store.Write
 	done    chan error // with room for the result
 }
 
-func newWriter(table platform.Table, interval time.Duration) *writer {
+func newWriter(table store.Table, interval time.Duration) *writer {
 	return &writer{table: table, interval: interval}
 }
 
 // submit queues a write of a row that must still have the version. The result
-// is nil or one of the errors of platform.Table.
-func (w *writer) submit(version uint64, write platform.Write) <-chan error {
+// is nil or one of the errors of store.Table.
+func (w *writer) submit(version uint64, write store.Write) <-chan error {
 	pending := &pendingWrite{version: version, write: write, done: make(chan error, 1)}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/mesh/controller/advance.go
+++ b/mesh/controller/advance.go
@@ -8,9 +8,9 @@
 
 	"go.uber.org/zap"
 
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/rollout"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/steperr"
 )
 
@@ -31,7 +31,7 @@
 // ticket's status in one transaction. A conflict means that another controller
 // or operator was first; the next tick reads what they wrote.
 func (r *runner) write(ctx context.Context, next rollout.State, action rollout.Action) error {
-	compares := []platform.Compare{
+	compares := []store.Compare{
 		{Key: rollout.Key(next.Service), Version: r.version},
 		r.lease.Compare(),
 		{Key: r.ticket.row.Key, Version: r.ticket.row.Version},
@@ -44,7 +44,7 @@
 	r.loaded = false
 	config := r.controller.config
 	number, err := config.Log.Append(ctx, []revision.Resource{{Split: &split}}, compares, writes)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		return nil
 	}
 	if err != nil {
@@ -63,18 +63,18 @@
 
 // moveWrites keeps the move's row, or deletes it with the lease at the end, and
 // updates the ticket's status.
-func (r *runner) moveWrites(next rollout.State, action rollout.Action) ([]platform.Write, error) {
+func (r *runner) moveWrites(next rollout.State, action rollout.Action) ([]store.Write, error) {
 	status, err := r.ticket.write(next.Status())
 	if err != nil {
 		return nil, err
 	}
 	key := rollout.Key(next.Service)
 	if _, ok := action.(rollout.Finish); ok {
-		return append(r.lease.Release(), status, platform.Write{Key: key, Delete: true}), nil
+		return append(r.lease.Release(), status, store.Write{Key: key, Delete: true}), nil
 	}
 	data, err := rollout.Encode(next)
 	if err != nil {
 		return nil, err
 	}
-	return []platform.Write{status, {Key: key, Value: data}}, nil
+	return []store.Write{status, {Key: key, Value: data}}, nil
 }
--- a/mesh/controller/controller.go
+++ b/mesh/controller/controller.go
@@ -13,8 +13,8 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/gossip"
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
@@ -31,10 +31,10 @@
 )
 
 // Log writes one change as the next revision. The extra compares and writes are
-// part of the same transaction. It returns platform.ErrConflict if an extra
-// compare failed and platform.ErrUnavailable if nothing was written.
+// part of the same transaction. It returns store.ErrConflict if an extra
+// compare failed and store.ErrUnavailable if nothing was written.
 type Log interface {
-	Append(ctx context.Context, put []revision.Resource, compares []platform.Compare, writes []platform.Write) (uint64, error)
+	Append(ctx context.Context, put []revision.Resource, compares []store.Compare, writes []store.Write) (uint64, error)
 }
 
 // Members is the membership as this host sees it.
@@ -60,7 +60,7 @@
 	// Incarnation is the start of this process; it tells leases of an earlier
 	// process of the host from its own.
 	Incarnation uint64
-	Table       platform.Table
+	Table       store.Table
 	Log         Log
 	Members     Members
 	Moves       Moves
--- a/mesh/controller/controller_test.go
+++ b/mesh/controller/controller_test.go
@@ -13,9 +13,9 @@
 
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/lease"
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/rollout"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
@@ -27,7 +27,7 @@
 // bench is a service with a running move, in virtual time. It is the platform,
 // the log, the members and the configuration that controllers see.
 type bench struct {
-	*platform.Memory
+	*store.Memory
 	outage   error         // what the platform answers
 	hang     chan struct{} // if set, it answers once this is closed
 	lost     int           // transactions whose answer is still to be lost
@@ -40,7 +40,7 @@
 }
 
 func newBench(is *is.I, window time.Duration) *bench {
-	b := &bench{Memory: platform.NewMemory(), now: time.Unix(1700000000, 0)}
+	b := &bench{Memory: store.NewMemory(), now: time.Unix(1700000000, 0)}
 	move := revision.Move{
 		Ticket: testTicket, From: "v1", To: "v2", Target: revision.FullShare,
 		By: b.now.Add(window), Step: ticket.AnnouncedStep,
@@ -54,7 +54,7 @@
 		Service: "orders", From: "v1", To: "v2", Verdict: ticket.Running, Step: ticket.AnnouncedStep, At: b.now,
 	}}})
 	is.NoErr(err)
-	is.NoErr(b.Txn(context.Background(), nil, []platform.Write{{Key: testTicketKey(testTicket), Value: status}}))
+	is.NoErr(b.Txn(context.Background(), nil, []store.Write{{Key: testTicketKey(testTicket), Value: status}}))
 	for i := range 5 {
 		b.members = append(b.members, testMember(i))
 	}
@@ -80,32 +80,32 @@
 	return []Move{{Service: "orders", Preference: revision.PreferDeadline, Move: *b.split.Move}}
 }
 
-// Get implements platform.Table.
-func (b *bench) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements store.Table.
+func (b *bench) Get(ctx context.Context, key string) (store.Row, error) {
 	if b.hang != nil {
 		<-b.hang
 	}
 	if b.outage != nil {
-		return platform.Row{}, b.outage
+		return store.Row{}, b.outage
 	}
 	return b.Memory.Get(ctx, key)
 }
 
-// Txn implements platform.Table.
-func (b *bench) Txn(ctx context.Context, compares []platform.Compare, writes []platform.Write) error {
+// Txn implements store.Table.
+func (b *bench) Txn(ctx context.Context, compares []store.Compare, writes []store.Write) error {
 	if b.outage != nil {
 		return b.outage
 	}
 	err := b.Memory.Txn(ctx, compares, writes)
 	if err == nil && b.lost > 0 {
 		b.lost--
-		return platform.ErrOutcomeUnknown
+		return store.ErrOutcomeUnknown
 	}
 	return err
 }
 
 // Append is a Log of one split.
-func (b *bench) Append(ctx context.Context, put []revision.Resource, compares []platform.Compare, writes []platform.Write) (uint64, error) {
+func (b *bench) Append(ctx context.Context, put []revision.Resource, compares []store.Compare, writes []store.Write) (uint64, error) {
 	if err := b.Txn(ctx, compares, writes); err != nil {
 		return 0, err
 	}
@@ -180,7 +180,7 @@
 
 func (b *bench) absent(key string) bool {
 	_, err := b.Get(context.Background(), key)
-	return err == platform.ErrNotFound
+	return err == store.ErrNotFound
 }
 
 func (b *bench) all() []*Controller {
@@ -261,7 +261,7 @@
 			return all
 		}},
 		{"platform is out for 20 s", func(is *is.I, b *bench, all []*Controller) []*Controller {
-			b.outage = platform.ErrUnavailable
+			b.outage = store.ErrUnavailable
 			share := b.split.Weight("v2")
 			for range 20 {
 				b.second(0, all...)
@@ -333,7 +333,7 @@
 	for b.split.Weight("v2") == 0 {
 		b.second(0, all...)
 	}
-	b.outage = platform.ErrUnavailable
+	b.outage = store.ErrUnavailable
 	for range 20 {
 		b.second(2, all...)
 	}
@@ -387,7 +387,7 @@
 	status.Moves[0].Verdict = ticket.TakenBack
 	data, err := json.Marshal(status)
 	is.NoErr(err)
-	is.NoErr(b.Txn(context.Background(), nil, []platform.Write{{Key: row.Key, Value: data}}))
+	is.NoErr(b.Txn(context.Background(), nil, []store.Write{{Key: row.Key, Value: data}}))
 	revision := b.revision
 	b.run(time.Minute, 0, all...)
 	is.Equal(b.revision, revision)
--- a/mesh/controller/runner.go
+++ b/mesh/controller/runner.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/lease"
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/rollout"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 	"sassafrasnotch.example/mesh/steperr"
 )
@@ -113,7 +113,7 @@
 	}
 	err = config.Table.Txn(ctx, decision.Compares, decision.Writes)
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return lease.Wait, nil
 	case err != nil:
 		return lease.Wait, steperr.Wrap(err, fmt.Sprintf("%s lease %s", decision.Kind, name), peerPlatform)
@@ -132,10 +132,10 @@
 }
 
 // get returns a row, or a row of version 0 if there is none.
-func (r *runner) get(ctx context.Context, key string) (platform.Row, error) {
+func (r *runner) get(ctx context.Context, key string) (store.Row, error) {
 	row, err := r.controller.config.Table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{Key: key}, nil
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Row{Key: key}, nil
 	}
 	return row, err
 }
@@ -143,8 +143,8 @@
 // release gives the lease of a move up that has ended.
 func (r *runner) release(ctx context.Context) error {
 	table := r.controller.config.Table
-	err := table.Txn(ctx, []platform.Compare{r.lease.Compare()}, r.lease.Release())
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	err := table.Txn(ctx, []store.Compare{r.lease.Compare()}, r.lease.Release())
+	if err != nil && !errors.Is(err, store.ErrConflict) {
 		return steperr.Wrap(err, fmt.Sprintf("release the lease of the move of %s", r.move.Service), peerPlatform)
 	}
 	r.end()
--- a/mesh/controller/ticket.go
+++ b/mesh/controller/ticket.go
@@ -5,14 +5,14 @@
 	"encoding/json"
 	"fmt"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 	"sassafrasnotch.example/mesh/steperr"
 )
 
 // ticketRow is the status of a move's ticket as just read.
 type ticketRow struct {
-	row    platform.Row
+	row    store.Row
 	status ticket.Status
 }
 
@@ -43,13 +43,13 @@
 }
 
 // write returns the write that records the progress of a move.
-func (t *ticketRow) write(progress ticket.MoveStatus) (platform.Write, error) {
+func (t *ticketRow) write(progress ticket.MoveStatus) (store.Write, error) {
 	if move := t.move(progress.Service); move != nil {
 		*move = progress
 	}
 	data, err := json.Marshal(t.status)
 	if err != nil {
-		return platform.Write{}, steperr.Wrap(err, fmt.Sprintf("encode status of ticket %d", t.status.Number), peerPlatform)
+		return store.Write{}, steperr.Wrap(err, fmt.Sprintf("encode status of ticket %d", t.status.Number), peerPlatform)
 	}
-	return platform.Write{Key: t.row.Key, Value: data}, nil
+	return store.Write{Key: t.row.Key, Value: data}, nil
 }
--- a/mesh/daemon/calls.go
+++ b/mesh/daemon/calls.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/balance"
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/claim"
 	"sassafrasnotch.example/mesh/distribution"
 	"sassafrasnotch.example/mesh/entry"
@@ -31,9 +31,9 @@
 	func(m *telemetry.Metrics, recorder *report.Recorder) (*telemetry.CallMetrics, error) {
 		return telemetry.NewCallMetrics(m, recorder)
 	},
-	func(identity peer.Identity, members *membership.Membership, pool *peer.Pool, store platform.Store, logger *zap.Logger) *claim.Claimer {
+	func(identity peer.Identity, members *membership.Membership, pool *peer.Pool, backing store.Store, logger *zap.Logger) *claim.Claimer {
 		self := claim.Self{Host: identity.Host, Zone: identity.Zone}
-		return claim.NewZoned(self, members, pool, store, logger.Named("claim"))
+		return claim.NewZoned(self, members, pool, backing, logger.Named("claim"))
 	},
 	func(s settings.Settings, distributor *distribution.Distributor, pool *peer.Pool, claims *claim.Claimer, counts *entry.Counts, observer *telemetry.CallMetrics, logger *zap.Logger) *entry.Entry {
 		place := balance.Place{Host: s.Host, Zone: s.Zone, Region: s.Region}
--- a/mesh/daemon/daemon.go
+++ b/mesh/daemon/daemon.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/gossip"
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/distribution"
 	"sassafrasnotch.example/mesh/exit"
 	"sassafrasnotch.example/mesh/membership"
@@ -83,7 +83,7 @@
 		}
 		return platformhttp.New(s.Platform, options...)
 	},
-	func(client *platformhttp.Client) platform.Store { return client },
+	func(client *platformhttp.Client) store.Store { return client },
 	revision.NewLog,
 ))
 
@@ -133,12 +133,12 @@
 }
 
 var distributionModule = fx.Module("distribution", fx.Provide(
-	func(identity peer.Identity, log *revision.Log, pool *peer.Pool, members *membership.Membership, store platform.Store, logger *zap.Logger) *distribution.Distributor {
-		rejections := registrar.NewRejectionReporter(identity.Host, store, logger.Named("registrar"))
+	func(identity peer.Identity, log *revision.Log, pool *peer.Pool, members *membership.Membership, backing store.Store, logger *zap.Logger) *distribution.Distributor {
+		rejections := registrar.NewRejectionReporter(identity.Host, backing, logger.Named("registrar"))
 		self := distribution.Self{Host: identity.Host, Zone: identity.Zone}
 		return distribution.New(self, log, pool, members, rejections, logger.Named("distribution"))
 	},
-	func(identity peer.Identity, store platform.Store, log *revision.Log, distributor *distribution.Distributor, logger *zap.Logger) *registrar.Registrar {
-		return registrar.New(identity.Host, store, log, distributor, logger.Named("registrar"))
+	func(identity peer.Identity, backing store.Store, log *revision.Log, distributor *distribution.Distributor, logger *zap.Logger) *registrar.Registrar {
+		return registrar.New(identity.Host, backing, log, distributor, logger.Named("registrar"))
 	},
 ))
--- a/mesh/daemon/hosts.go
+++ b/mesh/daemon/hosts.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/gossip"
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/rendezvous"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/membership"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/settings"
@@ -39,22 +39,22 @@
 
 // hostRows keeps this host's row and reads those of the others.
 type hostRows struct {
-	host   string
-	key    string
-	self   hostRow
-	store  platform.Store
-	logger *zap.Logger
+	host    string
+	key     string
+	self    hostRow
+	backing store.Store
+	logger  *zap.Logger
 }
 
 var hostsModule = fx.Provide(newHostRows)
 
-func newHostRows(identity peer.Identity, s settings.Settings, store platform.Store, logger *zap.Logger) *hostRows {
+func newHostRows(identity peer.Identity, s settings.Settings, backing store.Store, logger *zap.Logger) *hostRows {
 	return &hostRows{
-		host:   identity.Host,
-		key:    hostPrefix + identity.Host,
-		self:   hostRow{Zone: identity.Zone, GossipAddress: either(s.Gossip.Advertise, s.Gossip.Listen)},
-		store:  store,
-		logger: logger.Named("hosts"),
+		host:    identity.Host,
+		key:     hostPrefix + identity.Host,
+		self:    hostRow{Zone: identity.Zone, GossipAddress: either(s.Gossip.Advertise, s.Gossip.Listen)},
+		backing: backing,
+		logger:  logger.Named("hosts"),
 	}
 }
 
@@ -115,11 +115,11 @@
 	if err != nil {
 		return err
 	}
-	writes := []platform.Write{{Key: h.key, Value: value}}
+	writes := []store.Write{{Key: h.key, Value: value}}
 	for _, key := range expired[:min(removalsPerVisit, len(expired))] {
-		writes = append(writes, platform.Write{Key: key, Delete: true})
+		writes = append(writes, store.Write{Key: key, Delete: true})
 	}
-	return h.store.Txn(ctx, nil, writes)
+	return h.backing.Txn(ctx, nil, writes)
 }
 
 // first reports whether this host is the first of its zone in rendezvous order.
@@ -137,7 +137,7 @@
 // that were not refreshed for a long time. Those are seeds too: after a long
 // outage of the platform every row is old.
 func (h *hostRows) read(ctx context.Context, now time.Time) (seeds, expired []string, err error) {
-	rows, err := h.store.Scan(ctx, hostPrefix, "", hostScanLimit)
+	rows, err := h.backing.Scan(ctx, hostPrefix, "", hostScanLimit)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/mesh/daemon/moves.go
+++ b/mesh/daemon/moves.go
@@ -6,8 +6,8 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/controller"
 	"sassafrasnotch.example/mesh/distribution"
 	"sassafrasnotch.example/mesh/entry"
@@ -19,12 +19,12 @@
 )
 
 var movesModule = fx.Module("moves", fx.Provide(
-	func(identity peer.Identity, store platform.Store, r *registrar.Registrar, members *membership.Membership, d *distribution.Distributor, logger *zap.Logger) *controller.Controller {
+	func(identity peer.Identity, backing store.Store, r *registrar.Registrar, members *membership.Membership, d *distribution.Distributor, logger *zap.Logger) *controller.Controller {
 		return controller.New(controller.Config{
 			Host:        identity.Host,
 			Zone:        identity.Zone,
 			Incarnation: identity.Incarnation,
-			Table:       store,
+			Table:       backing,
 			Log:         r,
 			Members:     members,
 			Moves:       moveList{d},
--- a/mesh/daemon/security_test.go
+++ b/mesh/daemon/security_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/matryer/is"
 
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 	"sassafrasnotch.example/mesh/admin"
 	"sassafrasnotch.example/mesh/security"
@@ -61,7 +61,7 @@
 
 	platformKeys, err := security.Load("platform", asSettings(h.issue("platform", "127.0.0.1")), time.Now)
 	is.NoErr(err)
-	server := httptest.NewUnstartedServer(platformserver.New(platform.NewMemory()).Handler())
+	server := httptest.NewUnstartedServer(platformserver.New(store.NewMemory()).Handler())
 	address := server.Listener.Addr().String()
 	server.Listener = platformKeys.Listener(server.Listener)
 	server.Start()
--- a/mesh/demo/system.go
+++ b/mesh/demo/system.go
@@ -9,8 +9,8 @@
 
 	"go.uber.org/fx"
 
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/daemon"
 	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/standin/loopback"
@@ -70,7 +70,7 @@
 }
 
 func (s *system) startPlatform() error {
-	s.counters = platformserver.New(platform.NewMemory())
+	s.counters = platformserver.New(store.NewMemory())
 	address := loopback.Endpoint(s.block.IP(platformNet, 1), peerPort)
 	s.platform = &http.Server{Addr: address, Handler: s.counters.Handler(), ReadHeaderTimeout: headerWait}
 	listener, err := listen(address)
--- a/mesh/distribution/distributor_test.go
+++ b/mesh/distribution/distributor_test.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/gossip"
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
@@ -80,8 +80,8 @@
 }
 
 // host adds a distributor that is not started.
-func (n *network) host(t *testing.T, name, zone string, store platform.Store, rejections Rejections) *Distributor {
-	d := New(Self{name, zone}, revision.NewLog(store), n, &view{n, name}, rejections, zap.NewNop())
+func (n *network) host(t *testing.T, name, zone string, backing store.Store, rejections Rejections) *Distributor {
+	d := New(Self{name, zone}, revision.NewLog(backing), n, &view{n, name}, rejections, zap.NewNop())
 	n.mu.Lock()
 	n.hosts[name], n.zones[name] = d, zone
 	n.mu.Unlock()
@@ -94,16 +94,16 @@
 }
 
 // down is a platform that does not answer.
-type down struct{ platform.Store }
+type down struct{ store.Store }
 
-func (down) Get(context.Context, string) (platform.Row, error) {
-	return platform.Row{}, platform.ErrUnavailable
+func (down) Get(context.Context, string) (store.Row, error) {
+	return store.Row{}, store.ErrUnavailable
 }
 
 // log returns a written log of count revisions.
-func log(t *testing.T, count int) (platform.Store, *revision.Snapshot, []revision.Encoded) {
+func log(t *testing.T, count int) (store.Store, *revision.Snapshot, []revision.Encoded) {
 	t.Helper()
-	store := platform.NewMemory()
+	backing := store.NewMemory()
 	state := revision.Empty()
 	var changes []revision.Encoded
 	for i := range count {
@@ -111,11 +111,11 @@
 			put := revision.Resource{Service: &revision.Service{Name: string(rune('a' + i))}}
 			return revision.Draft{Ticket: uint64(i + 1), Put: []revision.Resource{put}}, nil
 		}
-		next, more, err := revision.NewLog(store).Append(t.Context(), state, string(rune('a'+i)), build)
+		next, more, err := revision.NewLog(backing).Append(t.Context(), state, string(rune('a'+i)), build)
 		is.New(t).NoErr(err)
 		state, changes = next, append(changes, more...)
 	}
-	return store, state, changes
+	return backing, state, changes
 }
 
 // appliedSoon waits until the distributor has a revision in force.
@@ -151,8 +151,8 @@
 
 func TestStartTakesThePlatformsNewest(t *testing.T) {
 	is := is.New(t)
-	store, state, _ := log(t, 3)
-	fresh := newNetwork().host(t, "fresh", "a", store, nil)
+	backing, state, _ := log(t, 3)
+	fresh := newNetwork().host(t, "fresh", "a", backing, nil)
 	fresh.Start()
 	is.Equal(appliedSoon(t, fresh), state.Revision())
 }
@@ -176,11 +176,11 @@
 
 func TestWriterTellsOtherZones(t *testing.T) {
 	is := is.New(t)
-	store, state, changes := log(t, 1)
+	backing, state, changes := log(t, 1)
 	n := newNetwork()
 	var all []*Distributor
 	for _, name := range []string{"a1", "a2", "a3", "b1", "b2", "b3", "b4"} {
-		d := n.host(t, name, name[:1], store, nil)
+		d := n.host(t, name, name[:1], backing, nil)
 		d.open = true
 		all = append(all, d)
 	}
--- a/mesh/entry/claims_test.go
+++ b/mesh/entry/claims_test.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/claim"
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 	meshclaim "sassafrasnotch.example/mesh/claim"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
@@ -32,10 +32,10 @@
 }
 
 // outTable is a table that is out.
-type outTable struct{ platform.Table }
+type outTable struct{ store.Table }
 
-func (outTable) Txn(context.Context, []platform.Compare, []platform.Write) error {
-	return platform.ErrUnavailable
+func (outTable) Txn(context.Context, []store.Compare, []store.Write) error {
+	return store.ErrUnavailable
 }
 
 func TestResentKeyedRequest(t *testing.T) {
@@ -62,7 +62,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			table := platform.NewMemory()
+			table := store.NewMemory()
 			send := func(expected told, hosts map[string]exchangeOn, runs int) string {
 				claims := meshclaim.New(table, zap.NewNop())
 				w := newWorld(t, testSettings(), claims, hosts) // another entry
@@ -85,7 +85,7 @@
 
 func TestKeyReusedForAnotherRequest(t *testing.T) {
 	is := is.New(t)
-	claims := meshclaim.New(platform.NewMemory(), zap.NewNop())
+	claims := meshclaim.New(store.NewMemory(), zap.NewNop())
 	w := newWorld(t, testSettings(), claims, oneOf(answers(201, "swan"), nil))
 	_, _ = sendKeyed(t, w, "k", "a swan")
 	answer, _ := sendKeyed(t, w, "k", "a bear")
@@ -96,7 +96,7 @@
 
 func TestKeyedRequestIsRefusedWhileThePlatformIsOut(t *testing.T) {
 	is := is.New(t)
-	claims := meshclaim.New(outTable{platform.NewMemory()}, zap.NewNop())
+	claims := meshclaim.New(outTable{store.NewMemory()}, zap.NewNop())
 	w := newWorld(t, testSettings(), claims, oneOf(answers(201, "swan"), nil))
 	answer, _ := sendKeyed(t, w, "k", "a swan")
 	is.Equal(answer.StatusCode, http.StatusServiceUnavailable)
@@ -108,7 +108,7 @@
 func TestKeyedRequestOutlivesItsCaller(t *testing.T) {
 	is := is.New(t)
 	proceed := make(chan struct{})
-	table := platform.NewMemory()
+	table := store.NewMemory()
 	claims := meshclaim.New(table, zap.NewNop())
 	w := newWorld(t, testSettings(), claims, oneOf(func(stream *pipeStream, head *peerpb.CallHead, attempt uint64) {
 		<-proceed
--- a/mesh/platformhttp/client.go
+++ b/mesh/platformhttp/client.go
@@ -1,5 +1,5 @@
 // Package platformhttp is the platform's storage service over HTTP: a client
-// that implements platform.Store, and the messages that it exchanges.
+// that implements store.Store, and the messages that it exchanges.
 package platformhttp
 
 import (
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/steperr"
 )
@@ -27,7 +27,7 @@
 	maxAnswerBytes     = 256 << 20
 )
 
-// Client is a platform.Store over HTTP. It is safe for concurrent use.
+// Client is a store.Store over HTTP. It is safe for concurrent use.
 type Client struct {
 	base      string
 	peer      string
@@ -40,7 +40,7 @@
 	received  atomic.Uint64
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ store.Store = (*Client)(nil)
 
 // Counts are the operations that a client started.
 type Counts struct {
@@ -111,9 +111,9 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
-	var row platform.Row
+// Get implements store.Table.
+func (c *Client) Get(ctx context.Context, key string) (store.Row, error) {
+	var row store.Row
 	data, err := c.read(ctx, "platform.get", PathRows, url.Values{ParamKey: {key}})
 	if err != nil {
 		return row, err
@@ -121,8 +121,8 @@
 	return row, c.decode("platform.get", data, &row)
 }
 
-// Scan implements platform.Table.
-func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements store.Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
 	query := url.Values{
 		ParamPrefix: {prefix},
 		ParamAfter:  {after},
@@ -136,8 +136,8 @@
 	return rows.Rows, c.decode("platform.scan", data, &rows)
 }
 
-// Txn implements platform.Table.
-func (c *Client) Txn(ctx context.Context, compares []platform.Compare, writes []platform.Write) error {
+// Txn implements store.Table.
+func (c *Client) Txn(ctx context.Context, compares []store.Compare, writes []store.Write) error {
 	body, err := json.Marshal(Txn{Compares: compares, Writes: writes})
 	if err != nil {
 		return steperr.Wrap(err, "platform.txn", c.peer)
@@ -145,24 +145,24 @@
 	return c.write(ctx, "platform.txn", http.MethodPost, PathTxn, nil, body)
 }
 
-// PutObject implements platform.Objects.
+// PutObject implements store.Objects.
 func (c *Client) PutObject(ctx context.Context, key string, data []byte) error {
 	return c.write(ctx, "platform.put-object", http.MethodPut, PathObjects, url.Values{ParamKey: {key}}, data)
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements store.Objects.
 func (c *Client) GetObject(ctx context.Context, key string) ([]byte, error) {
 	return c.read(ctx, "platform.get-object", PathObjects, url.Values{ParamKey: {key}})
 }
 
-// DeleteObject implements platform.Objects.
+// DeleteObject implements store.Objects.
 func (c *Client) DeleteObject(ctx context.Context, key string) error {
 	return c.write(ctx, "platform.delete-object", http.MethodDelete, PathObjects, url.Values{ParamKey: {key}}, nil)
 }
 
 func (c *Client) decode(step string, data []byte, into any) error {
 	if err := json.Unmarshal(data, into); err != nil {
-		return c.fail(step, platform.ErrUnavailable, err)
+		return c.fail(step, store.ErrUnavailable, err)
 	}
 	return nil
 }
--- a/mesh/platformhttp/reply.go
+++ b/mesh/platformhttp/reply.go
@@ -8,7 +8,7 @@
 	"net/http/httptrace"
 	"sync/atomic"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/steperr"
 )
 
@@ -56,9 +56,9 @@
 	case r.ok():
 		return nil
 	case r.status == http.StatusNotFound && r.code() == CodeNotFound:
-		return platform.ErrNotFound
+		return store.ErrNotFound
 	}
-	return platform.ErrUnavailable
+	return store.ErrUnavailable
 }
 
 // writeError maps the outcome of a write to an error of package platform. A
@@ -67,19 +67,19 @@
 func (r reply) writeError() error {
 	switch {
 	case r.status == 0 && !r.delivered:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	case r.status == 0:
-		return platform.ErrOutcomeUnknown
+		return store.ErrOutcomeUnknown
 	case r.status >= http.StatusOK && r.status < http.StatusMultipleChoices:
 		return nil
 	}
 	switch r.code() {
 	case CodeConflict:
-		return platform.ErrConflict
+		return store.ErrConflict
 	case CodeUnavailable, CodeMalformed:
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
-	return platform.ErrOutcomeUnknown
+	return store.ErrOutcomeUnknown
 }
 
 func (r reply) cause() error {
--- a/mesh/platformhttp/wire.go
+++ b/mesh/platformhttp/wire.go
@@ -1,10 +1,10 @@
 package platformhttp
 
-import "sassafrasnotch.example/coord/platform"
+import "sassafrasnotch.example/coord/store"
 
 // Paths of the service. Keys travel in the query so that they may hold slashes.
 const (
-	PathRows    = "/v1/rows"    // GET ?key=: a platform.Row
+	PathRows    = "/v1/rows"    // GET ?key=: a store.Row
 	PathScan    = "/v1/scan"    // GET ?prefix=&after=&limit=: Rows
 	PathTxn     = "/v1/txn"     // POST a Txn: 204
 	PathObjects = "/v1/objects" // GET, PUT, DELETE ?key=: the data itself
@@ -20,13 +20,13 @@
 
 // Rows is the answer to a scan.
 type Rows struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []store.Row `json:"rows"`
 }
 
 // Txn is a transaction.
 type Txn struct {
-	Compares []platform.Compare `json:"compares"`
-	Writes   []platform.Write   `json:"writes"`
+	Compares []store.Compare `json:"compares"`
+	Writes   []store.Write   `json:"writes"`
 }
 
 // Code tells the service's own answers from those of anything in between, so
--- a/mesh/registrar/registrar.go
+++ b/mesh/registrar/registrar.go
@@ -13,8 +13,8 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 )
 
@@ -40,7 +40,7 @@
 // Registrar accepts tickets.
 type Registrar struct {
 	host        string
-	store       platform.Store
+	backing     store.Store
 	log         *revision.Log
 	distributor Distributor
 	logger      *zap.Logger
@@ -48,8 +48,8 @@
 }
 
 // New returns a registrar that writes as the host.
-func New(host string, store platform.Store, log *revision.Log, distributor Distributor, logger *zap.Logger) *Registrar {
-	return &Registrar{host: host, store: store, log: log, distributor: distributor, logger: logger, now: time.Now}
+func New(host string, backing store.Store, log *revision.Log, distributor Distributor, logger *zap.Logger) *Registrar {
+	return &Registrar{host: host, backing: backing, log: log, distributor: distributor, logger: logger, now: time.Now}
 }
 
 // TicketKey returns the row key of a ticket; keys sort by number.
@@ -70,10 +70,10 @@
 			return status, err
 		}
 	}
-	return ticket.Status{}, fmt.Errorf("submit ticket %d: %w", t.Number, platform.ErrConflict)
+	return ticket.Status{}, fmt.Errorf("submit ticket %d: %w", t.Number, store.ErrConflict)
 }
 
-// Ticket returns the status of a ticket, or platform.ErrNotFound.
+// Ticket returns the status of a ticket, or store.ErrNotFound.
 func (r *Registrar) Ticket(ctx context.Context, number uint64) (ticket.Status, error) {
 	_, status, err := r.read(ctx, number)
 	if err != nil {
@@ -83,8 +83,8 @@
 	return status, err
 }
 
-func (r *Registrar) read(ctx context.Context, number uint64) (platform.Row, ticket.Status, error) {
-	row, err := r.store.Get(ctx, TicketKey(number))
+func (r *Registrar) read(ctx context.Context, number uint64) (store.Row, ticket.Status, error) {
+	row, err := r.backing.Get(ctx, TicketKey(number))
 	if err != nil {
 		return row, ticket.Status{}, fmt.Errorf("read ticket %d: %w", number, err)
 	}
@@ -102,7 +102,7 @@
 
 // Tickets returns the statuses of the tickets with numbers above after.
 func (r *Registrar) Tickets(ctx context.Context, after uint64) ([]ticket.Status, error) {
-	rows, err := r.store.Scan(ctx, ticketPrefix, TicketKey(after), listLimit)
+	rows, err := r.backing.Scan(ctx, ticketPrefix, TicketKey(after), listLimit)
 	if err != nil {
 		return nil, fmt.Errorf("list tickets: %w", err)
 	}
@@ -120,7 +120,7 @@
 // Append writes resources as the next revision on behalf of a move's ticket,
 // with extra compares and writes in the same transaction. It implements
 // controller.Log.
-func (r *Registrar) Append(ctx context.Context, put []revision.Resource, compares []platform.Compare, writes []platform.Write) (uint64, error) {
+func (r *Registrar) Append(ctx context.Context, put []revision.Resource, compares []store.Compare, writes []store.Write) (uint64, error) {
 	id := r.host + "/" + uuid.NewString()
 	build := func(state *revision.Snapshot) (revision.Draft, error) {
 		return revision.Draft{Ticket: originOf(state, put), Put: put, Compares: compares, Writes: writes}, nil
--- a/mesh/registrar/rejection.go
+++ b/mesh/registrar/rejection.go
@@ -10,7 +10,7 @@
 
 	"go.uber.org/zap"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 )
 
@@ -29,9 +29,9 @@
 // RejectionReporter writes a daemon's rejections to the platform, where the
 // ticket's status shows them. It is safe for concurrent use.
 type RejectionReporter struct {
-	host   string
-	store  platform.Store
-	logger *zap.Logger
+	host    string
+	backing store.Store
+	logger  *zap.Logger
 
 	mu       sync.Mutex
 	reported map[rejection]bool
@@ -44,8 +44,8 @@
 }
 
 // NewRejectionReporter returns a reporter for the host.
-func NewRejectionReporter(host string, store platform.Store, logger *zap.Logger) *RejectionReporter {
-	return &RejectionReporter{host: host, store: store, logger: logger, reported: make(map[rejection]bool)}
+func NewRejectionReporter(host string, backing store.Store, logger *zap.Logger) *RejectionReporter {
+	return &RejectionReporter{host: host, backing: backing, logger: logger, reported: make(map[rejection]bool)}
 }
 
 // Report records that the host could not apply a revision that came from the
@@ -94,7 +94,7 @@
 
 func (r *RejectionReporter) write(ctx context.Context, revision uint64, report ticket.Rejection) error {
 	prefix := rejectionRows(revision)
-	rows, err := r.store.Scan(ctx, prefix, "", maxRejections)
+	rows, err := r.backing.Scan(ctx, prefix, "", maxRejections)
 	if err != nil || len(rows) >= maxRejections {
 		return err
 	}
@@ -102,12 +102,12 @@
 	if err != nil {
 		return err
 	}
-	return r.store.Txn(ctx, nil, []platform.Write{{Key: prefix + r.host, Value: value}})
+	return r.backing.Txn(ctx, nil, []store.Write{{Key: prefix + r.host, Value: value}})
 }
 
 // rejections returns the reports about a revision.
 func (r *Registrar) rejections(ctx context.Context, revision uint64) ([]ticket.Rejection, error) {
-	rows, err := r.store.Scan(ctx, rejectionRows(revision), "", maxRejections)
+	rows, err := r.backing.Scan(ctx, rejectionRows(revision), "", maxRejections)
 	if err != nil {
 		return nil, fmt.Errorf("read rejections of revision %d: %w", revision, err)
 	}
--- a/mesh/registrar/submission.go
+++ b/mesh/registrar/submission.go
@@ -6,9 +6,9 @@
 	"errors"
 	"fmt"
 
-	"sassafrasnotch.example/coord/platform"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/rollout"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 )
 
@@ -28,7 +28,7 @@
 	}
 	build := func(state *revision.Snapshot) (revision.Draft, error) { return s.draft(ctx, state) }
 	next, changes, err := s.registrar.log.Append(ctx, s.registrar.distributor.Tip(), s.id, build)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		return ticket.Status{}, false, nil
 	}
 	if err != nil {
@@ -51,7 +51,7 @@
 // known returns the first result of a ticket that was submitted before.
 func (s *submission) known(ctx context.Context) (ticket.Status, bool, error) {
 	_, status, err := s.registrar.read(ctx, s.ticket.Number)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return status, false, nil
 	}
 	if err != nil {
@@ -97,8 +97,8 @@
 		return err
 	}
 	key := TicketKey(s.ticket.Number)
-	draft.Compares = append(draft.Compares, platform.Compare{Key: key})
-	draft.Writes = append(draft.Writes, platform.Write{Key: key, Value: value})
+	draft.Compares = append(draft.Compares, store.Compare{Key: key})
+	draft.Writes = append(draft.Writes, store.Write{Key: key, Value: value})
 	return nil
 }
 
@@ -121,17 +121,17 @@
 	if err != nil {
 		return err
 	}
-	draft.Compares = append(draft.Compares, platform.Compare{Key: row.Key, Version: row.Version})
-	draft.Writes = append(draft.Writes, platform.Write{Key: row.Key, Value: value})
-	moveRow, err := s.registrar.store.Get(ctx, rollout.Key(superseded.Service))
-	if errors.Is(err, platform.ErrNotFound) {
+	draft.Compares = append(draft.Compares, store.Compare{Key: row.Key, Version: row.Version})
+	draft.Writes = append(draft.Writes, store.Write{Key: row.Key, Value: value})
+	moveRow, err := s.registrar.backing.Get(ctx, rollout.Key(superseded.Service))
+	if errors.Is(err, store.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
 		return fmt.Errorf("read the move of %s: %w", superseded.Service, err)
 	}
-	draft.Compares = append(draft.Compares, platform.Compare{Key: moveRow.Key, Version: moveRow.Version})
-	draft.Writes = append(draft.Writes, platform.Write{Key: moveRow.Key, Delete: true})
+	draft.Compares = append(draft.Compares, store.Compare{Key: moveRow.Key, Version: moveRow.Version})
+	draft.Writes = append(draft.Writes, store.Write{Key: moveRow.Key, Delete: true})
 	return nil
 }
 
@@ -146,7 +146,7 @@
 		if err != nil {
 			return err
 		}
-		draft.Writes = append(draft.Writes, platform.Write{Key: rollout.Key(resource.Split.Service), Value: value})
+		draft.Writes = append(draft.Writes, store.Write{Key: rollout.Key(resource.Split.Service), Value: value})
 	}
 	return nil
 }
--- a/mesh/standin/platformserver/operations.go
+++ b/mesh/standin/platformserver/operations.go
@@ -9,7 +9,7 @@
 
 	"github.com/gin-gonic/gin"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/platformhttp"
 )
 
@@ -48,7 +48,7 @@
 	}
 	s.state.count(func(k *Counters) { k.Txns++ })
 	err := s.store.Txn(context.WithoutCancel(c), txn.Compares, txn.Writes)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		s.state.count(func(k *Counters) { k.Conflicts++ })
 	}
 	s.answerWrite(c, err)
--- a/mesh/standin/platformserver/server.go
+++ b/mesh/standin/platformserver/server.go
@@ -10,7 +10,7 @@
 
 	"github.com/gin-gonic/gin"
 
-	"sassafrasnotch.example/coord/platform"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/platformhttp"
 )
 
@@ -22,18 +22,18 @@
 
 // Server is the stand-in.
 type Server struct {
-	store   platform.Store
+	store   store.Store
 	handler *gin.Engine
 	state   state
 }
 
 // New returns a server over a store. A nil store means an empty one in memory.
-func New(store platform.Store) *Server {
-	if store == nil {
-		store = platform.NewMemory()
+func New(backing store.Store) *Server {
+	if backing == nil {
+		backing = store.NewMemory()
 	}
 	gin.SetMode(gin.ReleaseMode)
-	s := &Server{store: store, handler: gin.New()}
+	s := &Server{store: backing, handler: gin.New()}
 	s.handler.GET(PathFaults, func(c *gin.Context) { c.JSON(http.StatusOK, s.Faults()) })
 	s.handler.PUT(PathFaults, s.putFaults)
 	s.handler.GET(PathCounters, func(c *gin.Context) { c.JSON(http.StatusOK, s.Counters()) })
@@ -52,7 +52,7 @@
 func (s *Server) Handler() http.Handler { return s.handler }
 
 // Store returns the store behind the server.
-func (s *Server) Store() platform.Store { return s.store }
+func (s *Server) Store() store.Store { return s.store }
 
 func (s *Server) putFaults(c *gin.Context) {
 	var faults Faults
@@ -111,9 +111,9 @@
 // failStore answers with an error of the store.
 func failStore(c *gin.Context, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		fail(c, http.StatusNotFound, platformhttp.CodeNotFound, err)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		fail(c, http.StatusConflict, platformhttp.CodeConflict, err)
 	default:
 		fail(c, http.StatusInternalServerError, "", err)
--- a/mesh/standin/platformserver/server_test.go
+++ b/mesh/standin/platformserver/server_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/matryer/is"
 
-	"sassafrasnotch.example/coord/platform"
-	"sassafrasnotch.example/coord/platform/platformtest"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/store"
+	"sassafrasnotch.example/coord/store/storetest"
 	"sassafrasnotch.example/mesh/platformhttp"
 	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/standin/platformserver"
@@ -39,7 +39,7 @@
 }
 
 func TestClientAndServerKeepTheContract(t *testing.T) {
-	platformtest.Run(t, func(t *testing.T) platform.Store {
+	storetest.Run(t, func(t *testing.T) store.Store {
 		return clientOf(t, serve(t, platformserver.New(nil).Handler()), generousTimeout)
 	})
 }
@@ -47,16 +47,16 @@
 var operations = []struct {
 	name  string
 	write bool
-	run   func(context.Context, platform.Store) error
+	run   func(context.Context, store.Store) error
 }{
-	{"get", false, func(ctx context.Context, s platform.Store) error { _, err := s.Get(ctx, "a"); return err }},
-	{"scan", false, func(ctx context.Context, s platform.Store) error { _, err := s.Scan(ctx, "a", "", 1); return err }},
-	{"get object", false, func(ctx context.Context, s platform.Store) error { _, err := s.GetObject(ctx, "a"); return err }},
-	{"txn", true, func(ctx context.Context, s platform.Store) error {
-		return s.Txn(ctx, nil, []platform.Write{{Key: "a", Value: []byte("1")}})
+	{"get", false, func(ctx context.Context, s store.Store) error { _, err := s.Get(ctx, "a"); return err }},
+	{"scan", false, func(ctx context.Context, s store.Store) error { _, err := s.Scan(ctx, "a", "", 1); return err }},
+	{"get object", false, func(ctx context.Context, s store.Store) error { _, err := s.GetObject(ctx, "a"); return err }},
+	{"txn", true, func(ctx context.Context, s store.Store) error {
+		return s.Txn(ctx, nil, []store.Write{{Key: "a", Value: []byte("1")}})
 	}},
-	{"put object", true, func(ctx context.Context, s platform.Store) error { return s.PutObject(ctx, "a", []byte("1")) }},
-	{"delete object", true, func(ctx context.Context, s platform.Store) error { return s.DeleteObject(ctx, "a") }},
+	{"put object", true, func(ctx context.Context, s store.Store) error { return s.PutObject(ctx, "a", []byte("1")) }},
+	{"delete object", true, func(ctx context.Context, s store.Store) error { return s.DeleteObject(ctx, "a") }},
 }
 
 func TestFaultsAsTheClientSeesThem(t *testing.T) {
@@ -77,12 +77,12 @@
 		timeout     time.Duration
 		read, write error
 	}{
-		{"outage", faulty(platformserver.Faults{Outage: true}), generousTimeout, platform.ErrUnavailable, platform.ErrUnavailable},
-		{"silent", faulty(platformserver.Faults{Silent: true}), shortTimeout, platform.ErrUnavailable, platform.ErrOutcomeUnknown},
-		{"503 from elsewhere", answer(http.StatusServiceUnavailable, "try later"), generousTimeout, platform.ErrUnavailable, platform.ErrOutcomeUnknown},
-		{"404 from elsewhere", answer(http.StatusNotFound, "no such page"), generousTimeout, platform.ErrUnavailable, platform.ErrOutcomeUnknown},
-		{"500", answer(http.StatusInternalServerError, "{}"), generousTimeout, platform.ErrUnavailable, platform.ErrOutcomeUnknown},
-		{"reset", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), generousTimeout, platform.ErrUnavailable, platform.ErrOutcomeUnknown},
+		{"outage", faulty(platformserver.Faults{Outage: true}), generousTimeout, store.ErrUnavailable, store.ErrUnavailable},
+		{"silent", faulty(platformserver.Faults{Silent: true}), shortTimeout, store.ErrUnavailable, store.ErrOutcomeUnknown},
+		{"503 from elsewhere", answer(http.StatusServiceUnavailable, "try later"), generousTimeout, store.ErrUnavailable, store.ErrOutcomeUnknown},
+		{"404 from elsewhere", answer(http.StatusNotFound, "no such page"), generousTimeout, store.ErrUnavailable, store.ErrOutcomeUnknown},
+		{"500", answer(http.StatusInternalServerError, "{}"), generousTimeout, store.ErrUnavailable, store.ErrOutcomeUnknown},
+		{"reset", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), generousTimeout, store.ErrUnavailable, store.ErrOutcomeUnknown},
 	}
 	for _, c := range cases {
 		client := clientOf(t, serve(t, c.handler), c.timeout)
@@ -110,7 +110,7 @@
 	for _, op := range operations {
 		t.Run(op.name, func(t *testing.T) {
 			is := is.New(t)
-			is.True(errors.Is(op.run(t.Context(), client), platform.ErrUnavailable))
+			is.True(errors.Is(op.run(t.Context(), client), store.ErrUnavailable))
 		})
 	}
 }
@@ -121,13 +121,13 @@
 	server.SetFaults(platformserver.Faults{LoseWriteAnswers: 1})
 	client := clientOf(t, serve(t, server.Handler()), generousTimeout)
 	create := func() error {
-		return client.Txn(t.Context(), []platform.Compare{{Key: "a"}}, []platform.Write{{Key: "a", Value: []byte("1")}})
+		return client.Txn(t.Context(), []store.Compare{{Key: "a"}}, []store.Write{{Key: "a", Value: []byte("1")}})
 	}
-	is.True(errors.Is(create(), platform.ErrOutcomeUnknown))
+	is.True(errors.Is(create(), store.ErrOutcomeUnknown))
 	row, err := client.Get(t.Context(), "a")
 	is.NoErr(err)
 	is.Equal(string(row.Value), "1")
-	is.True(errors.Is(create(), platform.ErrConflict)) // later answers arrive again
+	is.True(errors.Is(create(), store.ErrConflict)) // later answers arrive again
 	is.Equal(server.Counters(), platformserver.Counters{Gets: 1, Txns: 2, Conflicts: 1, LostAnswers: 1})
 	is.Equal(client.Counts(), platformhttp.Counts{Reads: 1, Writes: 2})
 }
@@ -138,7 +138,7 @@
 	server.SetFaults(platformserver.Faults{Delay: revision.Duration(4 * shortTimeout)})
 	url := serve(t, server.Handler())
 	err := clientOf(t, url, shortTimeout).PutObject(t.Context(), "a", []byte("1"))
-	is.True(errors.Is(err, platform.ErrOutcomeUnknown))
+	is.True(errors.Is(err, store.ErrOutcomeUnknown))
 	server.SetFaults(platformserver.Faults{})
 	ctx, cancel := context.WithTimeout(t.Context(), generousTimeout)
 	defer cancel()
