--- a/coord/balance/index.go
+++ b/coord/balance/index.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -60,6 +61,24 @@
 	return x.groups[VersionKey{service, version}]
 }
 
+// Except returns the endpoints of all versions of the service but those named,
+// or nil if none is known.
+func (x *Index) Except(service string, versions []string) *Group {
+	var endpoints []*Endpoint
+	for key, group := range x.groups {
+		if key.Service == service && !slices.Contains(versions, key.Version) {
+			endpoints = append(endpoints, group.Endpoints()...)
+		}
+	}
+	if len(endpoints) == 0 {
+		return nil
+	}
+	slices.SortFunc(endpoints, func(a, b *Endpoint) int {
+		return cmp.Or(strings.Compare(a.Host, b.Host), strings.Compare(a.Version, b.Version))
+	})
+	return newGroup(endpoints, x.self)
+}
+
 type stateKey struct {
 	VersionKey
 	host        string
@@ -96,6 +115,7 @@
 			Zone:        member.Zone,
 			Region:      member.Region,
 			Address:     member.PeerAddress,
+			Version:     version.Version,
 			Slots:       count,
 			State:       state,
 			incarnation: member.Incarnation,
--- a/coord/balance/plan.go
+++ b/coord/balance/plan.go
@@ -1,6 +1,10 @@
 package balance
 
-import "sassafrasnotch.example/coord/revision"
+import (
+	"slices"
+
+	"sassafrasnotch.example/coord/revision"
+)
 
 // Choice is the version that a call goes to.
 type Choice struct {
@@ -67,7 +71,7 @@
 	if i.Split.Move != nil {
 		version = i.Split.Move.From
 	}
-	group := i.Index.Group(i.Split.Service, version)
+	group := i.named(version)
 	if group.Size() == 0 {
 		return nil
 	}
@@ -101,7 +105,7 @@
 
 // group returns the endpoints that may receive the version's calls.
 func (i *Input) group(version string) *Group {
-	group := i.Index.Group(i.Split.Service, version)
+	group := i.named(version)
 	if group == nil || !i.moving(version) || i.Split.Move.Hosts <= 0 {
 		return group
 	}
@@ -112,6 +116,23 @@
 	return newGroup(chosen(group.Endpoints(), key, i.Split.Move.Ticket, i.Split.Move.Hosts), i.Index.self)
 }
 
+// named returns the endpoints of a version as the split names it.
+func (i *Input) named(version string) *Group {
+	if version != revision.AnyVersion {
+		return i.Index.Group(i.Split.Service, version)
+	}
+	except := slices.Clone(i.Split.Barred)
+	for _, share := range i.Split.Shares {
+		if share.Version != revision.AnyVersion {
+			except = append(except, share.Version)
+		}
+	}
+	if i.Split.Move != nil {
+		except = append(except, i.Split.Move.To)
+	}
+	return i.Index.Except(i.Split.Service, except)
+}
+
 func (i *Input) moving(version string) bool {
 	return i.Split.Move != nil && i.Split.Move.To == version
 }
--- a/coord/balance/state.go
+++ b/coord/balance/state.go
@@ -37,6 +37,7 @@
 	Zone    string
 	Region  string
 	Address string
+	Version string
 	// Slots is the number of requests that the host's targets of the version
 	// announced to run at once.
 	Slots int
--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -2,23 +2,37 @@
 
 import "sync/atomic"
 
-const (
-	// tokenUnit is one retry in the budget's unit.
-	tokenUnit = 1000
-	// tokensPerCall is the share of calls that may be retried, in tokenUnit.
-	tokensPerCall = 100
-	// reserve is the number of retries that a full budget holds.
-	reserve = 20
-)
+// tokenUnit is one retry in the budget's unit.
+const tokenUnit = 1000
+
+// Limits bound retries.
+type Limits struct {
+	// Share is the part of the calls that may be retried.
+	Share float64
+	// Reserve is the number of retries that a full budget holds.
+	Reserve int
+}
+
+// DefaultLimits hold for a daemon that shares no budget with others.
+var DefaultLimits = Limits{Share: 0.1, Reserve: 20}
 
 // Budget bounds retries to a share of calls: it is a token bucket that calls
 // fill and retries empty. It is safe for concurrent use.
 type Budget struct {
-	spent atomic.Int64 // in tokenUnit; 0 is a full budget
+	share   int64        // tokens that a call adds, in tokenUnit
+	reserve atomic.Int64 // tokens that a full budget holds, in tokenUnit
+	spent   atomic.Int64 // in tokenUnit; 0 is a full budget
 }
 
 // NewBudget returns a full budget.
-func NewBudget() *Budget { return &Budget{} }
+func NewBudget(limits Limits) *Budget {
+	b := &Budget{share: int64(limits.Share * tokenUnit)}
+	b.SetReserve(limits.Reserve)
+	return b
+}
+
+// SetReserve changes the number of retries that a full budget holds.
+func (b *Budget) SetReserve(reserve int) { b.reserve.Store(int64(reserve) * tokenUnit) }
 
 // Call adds a call's share to the budget.
 func (b *Budget) Call() {
@@ -27,7 +41,7 @@
 		if spent == 0 {
 			return
 		}
-		if b.spent.CompareAndSwap(spent, max(spent-tokensPerCall, 0)) {
+		if b.spent.CompareAndSwap(spent, max(spent-b.share, 0)) {
 			return
 		}
 	}
@@ -37,7 +51,7 @@
 func (b *Budget) Take() bool {
 	for {
 		spent := b.spent.Load()
-		if spent+tokenUnit > reserve*tokenUnit {
+		if spent+tokenUnit > b.reserve.Load() {
 			return false
 		}
 		if b.spent.CompareAndSwap(spent, spent+tokenUnit) {
--- a/coord/retry/retry.go
+++ b/coord/retry/retry.go
@@ -64,6 +64,8 @@
 	Passed int
 	// LastPassed is set if the last attempt was one of them.
 	LastPassed bool
+	// Most bounds the attempts that count; 0 means MaxAttempts.
+	Most int
 	// Left is the time to the call's deadline.
 	Left time.Duration
 }
@@ -82,7 +84,7 @@
 	if !attempt.mayRepeat() || attempt.Left < minTimeLeft {
 		return Decision{}
 	}
-	if attempt.Passed >= MaxPassed || attempt.counted() >= MaxAttempts {
+	if attempt.Passed >= MaxPassed || attempt.counted() >= attempt.most() {
 		return Decision{}
 	}
 	if attempt.LastPassed {
@@ -95,6 +97,13 @@
 	return Decision{Retry: true, Backoff: backoff}
 }
 
+func (a *Attempt) most() int {
+	if a.Most > 0 {
+		return a.Most
+	}
+	return MaxAttempts
+}
+
 // counted returns the number of attempts that reached a target's host.
 func (a *Attempt) counted() int { return a.Attempts - a.Passed }
 
--- a/coord/revision/resource.go
+++ b/coord/revision/resource.go
@@ -82,6 +82,11 @@
 	Objective    Objective `json:"objective,omitzero"`
 }
 
+// AnyVersion in a split stands for every version of the service that the split
+// does not name otherwise. It serves sources that name versions only to move
+// traffic to them.
+const AnyVersion = "*"
+
 // Version is one release of a service that targets run.
 type Version struct {
 	Service string `json:"service"`
@@ -106,12 +111,42 @@
 type Route struct {
 	Name    string `json:"name"`
 	Service string `json:"service"`
-	Prefix  string `json:"prefix"`
-	Repeat  Repeat `json:"repeat,omitempty"`
-	// Timeout bounds a call that brings no deadline of its own.
+	// Host restricts the route to requests for that host name; empty means any.
+	Host string `json:"host,omitempty"`
+	// Prefix matches by whole path segments. One that ends with a slash does not
+	// match the path without it.
+	Prefix string `json:"prefix"`
+	Repeat Repeat `json:"repeat,omitempty"`
+	// Timeout bounds a call, whatever deadline its caller brings.
 	Timeout Duration `json:"timeout,omitempty"`
 	// Priority orders requests when load is shed; higher is kept longer.
 	Priority int `json:"priority,omitempty"`
+	// MaxAttempts bounds the targets that one request is sent to; 0 means the
+	// default of package retry.
+	MaxAttempts int `json:"maxAttempts,omitempty"`
+	// Objective is the time within which an answer is of full use; 0 means none.
+	Objective Duration `json:"objective,omitempty"`
+	// Split divides the route's requests over services by weight. If it is set,
+	// Service is empty.
+	Split []ServiceShare `json:"split,omitempty"`
+}
+
+// ServiceShare is the part of a route's requests that a service receives.
+type ServiceShare struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"` // relative to the sum over the route's split
+}
+
+// Services returns the services that the route sends requests to.
+func (r *Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Service}
+	}
+	services := make([]string, len(r.Split))
+	for i, share := range r.Split {
+		services[i] = share.Service
+	}
+	return services
 }
 
 // Share is the part of a service's traffic that a version receives.
@@ -140,6 +175,8 @@
 type Split struct {
 	Service string  `json:"service"`
 	Shares  []Share `json:"shares"`
+	// Barred versions receive nothing from AnyVersion.
+	Barred []string `json:"barred,omitempty"`
 	// Move is set while a move runs.
 	Move *Move `json:"move,omitempty"`
 }
--- a/coord/revision/snapshot.go
+++ b/coord/revision/snapshot.go
@@ -26,13 +26,16 @@
 	revision uint64
 	hash     uint64
 	entries  map[Ref]Entry
-	prefixes map[string]*Route
+	prefixes map[prefixKey]*Route
 	moving   []*Split
 }
 
+// prefixKey is what routes are matched by; an empty host stands for any.
+type prefixKey struct{ host, prefix string }
+
 // Empty returns the state before the first change.
 func Empty() *Snapshot {
-	return &Snapshot{entries: map[Ref]Entry{}, prefixes: map[string]*Route{}}
+	return &Snapshot{entries: map[Ref]Entry{}, prefixes: map[prefixKey]*Route{}}
 }
 
 // Revision returns the number of the newest change in the snapshot.
@@ -81,19 +84,49 @@
 func (s *Snapshot) Moving() []*Split { return s.moving }
 
 // Match returns the route with the longest prefix of the path, by whole path
-// segments.
-func (s *Snapshot) Match(path string) (*Route, bool) {
+// segments, among those of the host name, or else among those of any host.
+func (s *Snapshot) Match(host, path string) (*Route, bool) {
+	if host != "" {
+		if route, ok := s.match(host, path); ok {
+			return route, true
+		}
+	}
+	return s.match("", path)
+}
+
+func (s *Snapshot) match(host, path string) (*Route, bool) {
 	for {
-		path = strings.TrimRight(path, "/")
-		if route, ok := s.prefixes[path]; ok {
+		if route, ok := s.prefixes[prefixKey{host, path}]; ok {
 			return route, true
 		}
-		cut := strings.LastIndexByte(path, '/')
-		if cut < 0 {
+		if path == "" {
 			return nil, false
 		}
-		path = path[:cut]
+		if strings.HasSuffix(path, "/") {
+			path = path[:len(path)-1]
+			continue
+		}
+		path = path[:strings.LastIndexByte(path, '/')+1]
+	}
+}
+
+// Compose returns the state made of the resources alone, as one that was set
+// whole by the ticket. The error wraps ErrInvalid and names every problem.
+func Compose(revision, ticket uint64, resources []Resource) (*Snapshot, error) {
+	composed := &Snapshot{revision: revision, entries: make(map[Ref]Entry, len(resources))}
+	for _, resource := range resources {
+		ref := resource.Ref()
+		if _, twice := composed.entries[ref]; twice {
+			return nil, fmt.Errorf("%w: %s is set twice", ErrInvalid, ref)
+		}
+		if err := composed.put(Entry{Resource: resource, Ticket: ticket, Revision: revision}); err != nil {
+			return nil, err
+		}
+	}
+	if err := composed.finish(); err != nil {
+		return nil, err
 	}
+	return composed, nil
 }
 
 // Apply returns the snapshot with the change applied. The change must carry the
@@ -157,10 +190,10 @@
 	if problems := s.check(); len(problems) > 0 {
 		return fmt.Errorf("%w: %w", ErrInvalid, errors.Join(problems...))
 	}
-	s.prefixes = make(map[string]*Route)
+	s.prefixes = make(map[prefixKey]*Route)
 	for _, entry := range s.entries {
 		if entry.Route != nil {
-			s.prefixes[strings.TrimRight(entry.Route.Prefix, "/")] = entry.Route
+			s.prefixes[prefixKey{entry.Route.Host, entry.Route.Prefix}] = entry.Route
 		}
 		if entry.Split != nil && entry.Split.Move != nil {
 			s.moving = append(s.moving, entry.Split)
--- a/coord/store/store.go
+++ b/coord/store/store.go
@@ -1,6 +1,6 @@
 // Package store declares the storage service that the coordination parts
 // depend on: a transactional table and an object store. Implementations live
-// elsewhere; mesh/platformhttp is one over HTTP, Memory in this package another.
+// elsewhere; the module platform has one over HTTP, Memory in this package another.
 package store
 
 import (
@@ -21,6 +21,10 @@
 	ErrOutcomeUnknown = errors.New("store: outcome unknown")
 )
 
+// ErrTrimmed means that the changes after the requested version are no longer
+// known; the reader starts again from the rows themselves.
+var ErrTrimmed = errors.New("store: history trimmed")
+
 // Row is one row of the table. Version grows with every write to any row, so a
 // deleted and recreated row never repeats a version. Version 0 means absent.
 type Row struct {
--- a/integration/cluster/operate.go
+++ b/integration/cluster/operate.go
@@ -6,9 +6,7 @@
 	"os/exec"
 	"time"
 
-	"sassafrasnotch.example/coord/revision"
-	"sassafrasnotch.example/mesh/platformhttp"
-	"sassafrasnotch.example/mesh/settings"
+	"sassafrasnotch.example/platform/rowstore"
 )
 
 const commandLimit = 30 * time.Second // for one command of an operator
@@ -39,9 +37,6 @@
 
 // Platform returns a client of the platform that no fault of the network
 // reaches.
-func (c *Cluster) Platform() *platformhttp.Client {
-	return platformhttp.New(settings.Platform{
-		URL:     "http://" + c.platformAddress(),
-		Timeout: revision.Duration(startWait),
-	})
+func (c *Cluster) Platform() *rowstore.Client {
+	return rowstore.New(rowstore.Config{URL: "http://" + c.platformAddress(), Timeout: startWait})
 }
--- a/mesh/admin/api.go
+++ b/mesh/admin/api.go
@@ -35,6 +35,13 @@
 	// Slots is the number of requests that the target runs at once.
 	Slots   int  `json:"slots"`
 	Leaving bool `json:"leaving,omitempty"`
+	// Lifetime, if set, grows with each start of a target, and Sequence with each
+	// announcement of one lifetime, so that late announcements can be told.
+	Lifetime uint64 `json:"lifetime,omitempty"`
+	Sequence uint64 `json:"sequence,omitempty"`
+	// Cold is how much longer the target is slow after its start. It holds where
+	// Lifetime is set; other targets warm up as the settings say.
+	Cold revision.Duration `json:"cold,omitempty"`
 }
 
 // AnnouncementReply tells a target how long its announcement holds.
--- a/mesh/adminserver/server.go
+++ b/mesh/adminserver/server.go
@@ -51,6 +51,7 @@
 	metrics   http.Handler
 
 	certificates Certificates // nil if they can't be replaced
+	routes       []func(*gin.Engine)
 }
 
 // NewServer returns a server; metrics serves the metrics page.
@@ -58,6 +59,10 @@
 	return &Server{registrar: r, targets: t, viewer: v, level: level, metrics: metrics}
 }
 
+// AddRoutes makes the handler serve more than the product's own interface. It is
+// called before Handler.
+func (s *Server) AddRoutes(add func(*gin.Engine)) { s.routes = append(s.routes, add) }
+
 // Handler returns the HTTP handler.
 func (s *Server) Handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
@@ -75,6 +80,9 @@
 	engine.PUT(admin.PathCertificates+"/:purpose", s.replaceCertificate)
 	engine.GET(admin.PathMetrics, gin.WrapH(s.metrics))
 	engine.GET(admin.PathHealth, func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	for _, add := range s.routes {
+		add(engine)
+	}
 	return engine
 }
 
--- a/mesh/cmd/sassafrasd/main.go
+++ b/mesh/cmd/sassafrasd/main.go
@@ -11,6 +11,7 @@
 
 	"sassafrasnotch.example/mesh/daemon"
 	"sassafrasnotch.example/mesh/settings"
+	"sassafrasnotch.example/platform"
 )
 
 // Exit codes of the daemon.
@@ -19,8 +20,12 @@
 	exitBadInput = 2
 )
 
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "SASSAFRASNOTCH_CONFIG"
+
 func main() {
-	path := flag.String("settings", "", "path of the settings file (JSON with comments)")
+	path := flag.String("settings", os.Getenv(settingsVariable),
+		"`path` of the settings file (JSON with comments); by default the value of "+settingsVariable)
 	flag.Parse()
 	os.Exit(run(*path))
 }
@@ -32,7 +37,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadInput
 	}
-	app := daemon.New(loaded)
+	app := daemon.New(loaded, platform.Connect)
 	if err := app.Start(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/mesh/controller/advance.go
+++ b/mesh/controller/advance.go
@@ -68,13 +68,26 @@
 	if err != nil {
 		return nil, err
 	}
+	writes := []store.Write{status}
+	config := &r.controller.config
+	if config.Record != nil {
+		recorded, err := config.Record(next)
+		if err != nil {
+			return nil, err
+		}
+		writes = append(writes, recorded...)
+	}
 	key := rollout.Key(next.Service)
-	if _, ok := action.(rollout.Finish); ok {
-		return append(r.lease.Release(), status, store.Write{Key: key, Delete: true}), nil
+	_, finished := action.(rollout.Finish)
+	if finished {
+		writes = append(writes, r.lease.Release()...)
+	}
+	if finished && !config.KeepFinished {
+		return append(writes, store.Write{Key: key, Delete: true}), nil
 	}
 	data, err := rollout.Encode(next)
 	if err != nil {
 		return nil, err
 	}
-	return []store.Write{status, {Key: key, Value: data}}, nil
+	return append(writes, store.Write{Key: key, Value: data}), nil
 }
--- a/mesh/controller/controller.go
+++ b/mesh/controller/controller.go
@@ -14,6 +14,7 @@
 
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/rollout"
 	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
@@ -68,7 +69,15 @@
 	Now func() time.Time
 	// TicketKey returns the key of a ticket's row.
 	TicketKey func(number uint64) string
-	Logger    *zap.Logger
+	// Open creates the ticket of a move that was ordered without one; nil means
+	// that every move has its ticket.
+	Open func(ctx context.Context, move Move) error
+	// Record returns writes that go with each step; it may be nil.
+	Record func(rollout.State) ([]store.Write, error)
+	// KeepFinished keeps the row of a finished move, for a source that makes the
+	// split from it.
+	KeepFinished bool
+	Logger       *zap.Logger
 }
 
 // Controller runs the moves whose leases this host holds. All methods are safe
--- a/mesh/controller/evidence.go
+++ b/mesh/controller/evidence.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -89,8 +90,8 @@
 	return rollout.Evidence{
 		Verdict: e.detector.Verdict(),
 		Hosts: rollout.Hosts{
-			From: readyHosts(members, e.move.Service, e.move.From),
-			To:   readyHosts(members, e.move.Service, e.move.To),
+			From: readyHosts(members, func(t gossip.Target) bool { return t.Service == e.move.Service && e.isOld(t.Version) }),
+			To:   readyHosts(members, func(t gossip.Target) bool { return t.Service == e.move.Service && t.Version == e.move.To }),
 		},
 		Rate:      e.meter.rate(now),
 		Tripped:   e.trippedZones(),
@@ -109,26 +110,27 @@
 	return zones
 }
 
-// readyHosts counts the hosts with a ready target of a version.
-func readyHosts(members []gossip.Member, service, version string) int {
+// isOld reports whether traffic moves away from the version.
+func (e *evidence) isOld(version string) bool {
+	if e.move.From == revision.AnyVersion {
+		return version != e.move.To
+	}
+	return version == e.move.From
+}
+
+// readyHosts counts the hosts with a ready target that fits.
+func readyHosts(members []gossip.Member, fits func(gossip.Target) bool) int {
 	hosts := 0
 	for _, m := range members {
-		if m.Status != gossip.Dead && !m.Leaving && hasReady(m.Targets, service, version) {
+		if m.Status != gossip.Dead && !m.Leaving && slices.ContainsFunc(m.Targets, func(t gossip.Target) bool {
+			return t.State == gossip.TargetReady && fits(t)
+		}) {
 			hosts++
 		}
 	}
 	return hosts
 }
 
-func hasReady(targets []gossip.Target, service, version string) bool {
-	for _, t := range targets {
-		if t.Service == service && t.Version == version && t.State == gossip.TargetReady {
-			return true
-		}
-	}
-	return false
-}
-
 // meter counts the requests of a service to tell its rate of traffic.
 type meter struct {
 	since    time.Time
--- a/mesh/controller/inbox.go
+++ b/mesh/controller/inbox.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"sassafrasnotch.example/coord/detect"
+	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
@@ -122,7 +123,9 @@
 		version = detect.NewVersion
 	case p.move.From:
 	default:
-		return
+		if p.move.From != revision.AnyVersion {
+			return
+		}
 	}
 	p.samples = append(p.samples, detect.Sample{
 		Version: version, Route: count.GetRoute(), Zone: count.GetZone(),
--- a/mesh/controller/runner.go
+++ b/mesh/controller/runner.go
@@ -165,6 +165,15 @@
 		return false, err
 	}
 	status := r.ticket.move(r.move.Service)
+	if status == nil && r.ticket.row.Version == 0 && r.controller.config.Open != nil {
+		if err := r.controller.config.Open(ctx, r.move); err != nil {
+			return false, err
+		}
+		if r.ticket, err = r.readTicket(ctx); err != nil {
+			return false, err
+		}
+		status = r.ticket.move(r.move.Service)
+	}
 	if status == nil || status.Verdict != ticket.Running {
 		return false, nil
 	}
@@ -178,7 +187,7 @@
 		return true, nil
 	}
 	state, err := rollout.Decode(row.Value)
-	if err != nil || state.Ticket > r.move.Ticket {
+	if err != nil || state.Ticket > r.move.Ticket || state.Ticket == r.move.Ticket && state.Verdict != ticket.Running {
 		return false, err
 	}
 	if state.Ticket == r.move.Ticket {
--- a/mesh/daemon/calls.go
+++ b/mesh/daemon/calls.go
@@ -9,8 +9,8 @@
 
 	"sassafrasnotch.example/coord/balance"
 	"sassafrasnotch.example/coord/store"
+	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/claim"
-	"sassafrasnotch.example/mesh/distribution"
 	"sassafrasnotch.example/mesh/entry"
 	"sassafrasnotch.example/mesh/exit"
 	"sassafrasnotch.example/mesh/membership"
@@ -21,12 +21,16 @@
 )
 
 var callsModule = fx.Module("calls", fx.Provide(
-	func(identity peer.Identity, s settings.Settings, d *distribution.Distributor, logger *zap.Logger) *exit.Exit {
-		return exit.New(s.Exit, identity, logger.Named("exit"), exit.WithLatencyBound(latencyBounds{d}.of))
+	func(identity peer.Identity, s settings.Settings, a adapter.Adapter, c configuration, logger *zap.Logger) *exit.Exit {
+		options := []exit.Option{exit.WithLatencyBound(latencyBounds{c}.of)}
+		if s.Configuration.Source == settings.SourceOperator {
+			options = append(options, exit.WithConventions(a.Targets))
+		}
+		return exit.New(s.Exit, identity, logger.Named("exit"), options...)
 	},
 	entry.NewCounts,
-	func(identity peer.Identity, distributor *distribution.Distributor) *report.Recorder {
-		return report.NewRecorder(identity.Host, distributor, time.Now)
+	func(identity peer.Identity, c configuration) *report.Recorder {
+		return report.NewRecorder(identity.Host, c, time.Now)
 	},
 	func(m *telemetry.Metrics, recorder *report.Recorder) (*telemetry.CallMetrics, error) {
 		return telemetry.NewCallMetrics(m, recorder)
@@ -35,10 +39,16 @@
 		self := claim.Self{Host: identity.Host, Zone: identity.Zone}
 		return claim.NewZoned(self, members, pool, backing, logger.Named("claim"))
 	},
-	func(s settings.Settings, distributor *distribution.Distributor, pool *peer.Pool, claims *claim.Claimer, counts *entry.Counts, observer *telemetry.CallMetrics, logger *zap.Logger) *entry.Entry {
+	func(s settings.Settings, a adapter.Adapter, c configuration, pool *peer.Pool, claims *claim.Claimer, counts *entry.Counts, observer *telemetry.CallMetrics, logger *zap.Logger) *entry.Entry {
 		place := balance.Place{Host: s.Host, Zone: s.Zone, Region: s.Region}
+		conventions := entry.DefaultConventions
+		if s.Configuration.Source == settings.SourceOperator {
+			conventions = a.Callers
+		}
 		return entry.New(s.Entry, place, entry.Deps{
-			Configuration: distributor,
+			Conventions:   &conventions,
+			Service:       s.Service,
+			Configuration: c,
 			Dialer:        dialer{pool},
 			Claims:        claims,
 			Observer:      counts,
@@ -53,11 +63,11 @@
 
 // latencyBounds reads the latency bounds of the services from the configuration
 // in force.
-type latencyBounds struct{ distributor *distribution.Distributor }
+type latencyBounds struct{ configuration configuration }
 
 // of returns the bound of a service, or 0 if it has none.
 func (b latencyBounds) of(service string) time.Duration {
-	snapshot := b.distributor.Snapshot()
+	snapshot := b.configuration.Snapshot()
 	if snapshot == nil {
 		return 0
 	}
--- /dev/null
+++ b/mesh/daemon/configuration.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/mesh/adapter"
+	"sassafrasnotch.example/mesh/distribution"
+	"sassafrasnotch.example/mesh/membership"
+	"sassafrasnotch.example/mesh/settings"
+	"sassafrasnotch.example/mesh/source"
+)
+
+// configuration is the accepted state as this daemon holds it.
+type configuration interface {
+	// Snapshot returns nil until the daemon has applied a revision.
+	Snapshot() *revision.Snapshot
+	AppliedAt() time.Time
+	// Head returns the newest revision known to exist.
+	Head() uint64
+	PlatformReachable() bool
+	LastRejection() string
+	OnApply(func(*revision.Snapshot))
+	// NoteRevision takes in the newest revision that other daemons reported.
+	NoteRevision(newest uint64, host string)
+	Start()
+	Stop()
+}
+
+var configurationModule = fx.Module("configuration", fx.Provide(
+	func(a adapter.Adapter, members *membership.Membership, logger *zap.Logger) *source.Source {
+		return source.New(a.Operator, a.Moves, members, logger.Named("source"))
+	},
+	func(s settings.Settings, d *distribution.Distributor, o *source.Source) configuration {
+		if s.Configuration.Source == settings.SourceOperator {
+			return o
+		}
+		return d
+	},
+))
--- a/mesh/daemon/daemon.go
+++ b/mesh/daemon/daemon.go
@@ -12,21 +12,21 @@
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/store"
+	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/distribution"
 	"sassafrasnotch.example/mesh/exit"
 	"sassafrasnotch.example/mesh/membership"
 	"sassafrasnotch.example/mesh/peer"
-	"sassafrasnotch.example/mesh/platformhttp"
 	"sassafrasnotch.example/mesh/registrar"
 	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/telemetry"
 )
 
 // New returns the daemon as an application that is started and stopped by its
-// caller. Options replace or add parts.
-func New(s settings.Settings, options ...fx.Option) *fx.App {
+// caller, on the platform that connect reaches. Options replace or add parts.
+func New(s settings.Settings, connect adapter.Connect, options ...fx.Option) *fx.App {
 	all := append([]fx.Option{
-		fx.Supply(s),
+		fx.Supply(s, connect),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.Exit.DrainTimeout.Std() + stopMargin),
 		fx.WithLogger(func(logger *zap.Logger) fxevent.Logger {
@@ -41,6 +41,7 @@
 		peerModule,
 		membershipModule,
 		distributionModule,
+		configurationModule,
 		movesModule,
 		callsModule,
 		adminModule,
@@ -76,14 +77,14 @@
 ))
 
 var platformModule = fx.Module("platform", fx.Provide(
-	func(s settings.Settings, keys *keyring) *platformhttp.Client {
-		options := []platformhttp.Option{platformhttp.WithLocalIP(s.Peer.Bind)}
+	func(s settings.Settings, connect adapter.Connect, keys *keyring) adapter.Adapter {
+		config := adapter.Config{URL: s.Platform.URL, Timeout: s.Platform.Timeout.Std(), LocalIP: s.Peer.Bind}
 		if keys.platform != nil {
-			options = append(options, platformhttp.WithSecurity(keys.platform.Dialer))
+			config.Secure = keys.platform.Dialer
 		}
-		return platformhttp.New(s.Platform, options...)
+		return connect(config)
 	},
-	func(client *platformhttp.Client) store.Store { return client },
+	func(a adapter.Adapter) store.Store { return a.Store },
 	revision.NewLog,
 ))
 
--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -13,7 +13,6 @@
 
 	"sassafrasnotch.example/mesh/claim"
 	"sassafrasnotch.example/mesh/controller"
-	"sassafrasnotch.example/mesh/distribution"
 	"sassafrasnotch.example/mesh/entry"
 	"sassafrasnotch.example/mesh/exit"
 	"sassafrasnotch.example/mesh/membership"
@@ -29,25 +28,26 @@
 // parts are the components with a life of their own.
 type parts struct {
 	fx.In
-	Settings    settings.Settings
-	Identity    peer.Identity
-	Logger      *zap.Logger
-	Pool        *peer.Pool
-	PeerServer  *peer.Server
-	Control     *controlHandler
-	Members     *membership.Membership
-	Distributor *distribution.Distributor
-	Controller  *controller.Controller
-	Reporter    *outcomes.Reporter
-	Exit        *exit.Exit
-	Entry       *entry.Entry
-	EntryServer *entry.Server
-	Admin       adminHandler
-	Hosts       *hostRows
-	Claims      *claim.Claimer
-	Notices     *notices
-	Recorder    *report.Recorder
-	Keys        *keyring
+	Settings      settings.Settings
+	Identity      peer.Identity
+	Logger        *zap.Logger
+	Pool          *peer.Pool
+	PeerServer    *peer.Server
+	Control       *controlHandler
+	Members       *membership.Membership
+	Configuration configuration
+	Readiness     *readiness
+	Controller    *controller.Controller
+	Reporter      *outcomes.Reporter
+	Exit          *exit.Exit
+	Entry         *entry.Entry
+	EntryServer   *entry.Server
+	Admin         adminHandler
+	Hosts         *hostRows
+	Claims        *claim.Claimer
+	Notices       *notices
+	Recorder      *report.Recorder
+	Keys          *keyring
 }
 
 // lifecycle starts the parts in the order of their dependencies and stops them
@@ -78,12 +78,21 @@
 	if err != nil {
 		return errors.Join(err, peerListener.Close(), adminListener.Close())
 	}
+	var ready net.Listener
+	if l.Settings.Admin.Ready != "" {
+		if ready, err = listen("readiness", l.Settings.Admin.Ready); err != nil {
+			return errors.Join(err, peerListener.Close(), adminListener.Close(), entryListener.Close())
+		}
+	}
 	l.connect()
 	if err := l.Members.Start(ctx); err != nil {
 		return errors.Join(err, peerListener.Close(), adminListener.Close(), entryListener.Close())
 	}
 	l.serve("peer", func() error { return l.PeerServer.Serve(peerListener) })
 	l.serve("admin", func() error { return l.admin.Serve(l.Keys.secureAdmin(adminListener)) })
+	if ready != nil {
+		l.serve("readiness", func() error { return l.admin.Serve(ready) })
+	}
 	l.serve("entry", func() error { return l.EntryServer.Serve(entryListener) })
 	l.startBackground()
 	l.Logger.Info("daemon started", zap.String("entry", l.Settings.Entry.Listen), zap.String("admin", l.Settings.Admin.Listen))
@@ -100,9 +109,9 @@
 	l.Pool.SetLocal(l.Exit, l.Control)
 	l.Exit.OnChange(l.Members.SetTargets)
 	l.Exit.OnCrash(crashReporter{l.Members, l.Pool}.report)
-	l.Distributor.OnApply(l.Recorder.Applied)
+	l.Configuration.OnApply(l.Recorder.Applied)
 	l.Members.OnChange(l.Entry.OnMembers)
-	l.Members.OnNewerRevision(l.Distributor.NoteRevision)
+	l.Members.OnNewerRevision(l.Configuration.NoteRevision)
 	l.Members.OnNotice(l.Notices.obey)
 }
 
@@ -118,7 +127,7 @@
 	l.background.Go(func() {
 		l.Claims.RunSweeps(ctx, claim.Self{Host: l.Settings.Host, Zone: l.Settings.Zone}, l.Members)
 	})
-	l.Distributor.Start()
+	l.Configuration.Start()
 }
 
 // tick does what is due at short intervals.
@@ -151,6 +160,7 @@
 func (l *lifecycle) stop(ctx context.Context) error {
 	drain, cancel := context.WithTimeout(ctx, l.Settings.Exit.DrainTimeout.Std())
 	defer cancel()
+	l.Readiness.stop()
 	l.Logger.Info("daemon leaving")
 	l.Members.Leave()
 	var errs []error
@@ -170,7 +180,7 @@
 	errs = append(errs, steperr.Wrap(l.PeerServer.Shutdown(drain), "drain the peer sessions", l.Settings.Host))
 	l.Claims.Close(drain)
 	l.cancel()
-	l.Distributor.Stop()
+	l.Configuration.Stop()
 	errs = append(errs, l.admin.Close(), l.Members.Stop(ctx), l.Pool.Close())
 	l.background.Wait()
 	l.Logger.Info("daemon stopped", zap.Error(errors.Join(errs...)))
--- a/mesh/daemon/metrics.go
+++ b/mesh/daemon/metrics.go
@@ -6,9 +6,9 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/admin"
 	"sassafrasnotch.example/mesh/entry"
-	"sassafrasnotch.example/mesh/platformhttp"
 	"sassafrasnotch.example/mesh/telemetry"
 )
 
@@ -16,7 +16,7 @@
 // asked for.
 type gauges struct {
 	viewer   *viewer
-	platform *platformhttp.Client
+	platform adapter.Usage
 	server   *entry.Server
 
 	applied, head, reachable       metric.Int64ObservableGauge
@@ -26,9 +26,9 @@
 }
 
 // registerMetrics creates the daemon's metrics. docs/METRICS.md lists them.
-func registerMetrics(m *telemetry.Metrics, v *viewer, client *platformhttp.Client, server *entry.Server) error {
+func registerMetrics(m *telemetry.Metrics, v *viewer, a adapter.Adapter, server *entry.Server) error {
 	meter := m.Meter("daemon")
-	g := &gauges{viewer: v, platform: client, server: server}
+	g := &gauges{viewer: v, platform: a.Usage, server: server}
 	var failed error
 	gauge := func(name, description string) metric.Int64ObservableGauge {
 		instrument, err := meter.Int64ObservableGauge(name, metric.WithDescription(description))
@@ -74,9 +74,9 @@
 	g.observeTargets(o, status)
 	o.ObserveInt64(g.controlBytes, int64(status.ControlBytes.Sent), label("direction", "sent"))
 	o.ObserveInt64(g.controlBytes, int64(status.ControlBytes.Received), label("direction", "received"))
-	counts := g.platform.Counts()
-	o.ObserveInt64(g.platformRequests, int64(counts.Reads), label("kind", "read"))
-	o.ObserveInt64(g.platformRequests, int64(counts.Writes), label("kind", "write"))
+	reads, writes := g.platform.Operations()
+	o.ObserveInt64(g.platformRequests, int64(reads), label("kind", "read"))
+	o.ObserveInt64(g.platformRequests, int64(writes), label("kind", "write"))
 	return nil
 }
 
--- a/mesh/daemon/moves.go
+++ b/mesh/daemon/moves.go
@@ -8,39 +8,50 @@
 
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/store"
+	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/controller"
-	"sassafrasnotch.example/mesh/distribution"
 	"sassafrasnotch.example/mesh/entry"
 	"sassafrasnotch.example/mesh/exit"
 	"sassafrasnotch.example/mesh/membership"
 	"sassafrasnotch.example/mesh/outcomes"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/registrar"
+	"sassafrasnotch.example/mesh/settings"
+	"sassafrasnotch.example/mesh/source"
 )
 
 var movesModule = fx.Module("moves", fx.Provide(
-	func(identity peer.Identity, backing store.Store, r *registrar.Registrar, members *membership.Membership, d *distribution.Distributor, logger *zap.Logger) *controller.Controller {
-		return controller.New(controller.Config{
+	func(identity peer.Identity, s settings.Settings, a adapter.Adapter, backing store.Store, r *registrar.Registrar, members *membership.Membership, c configuration, operator *source.Source, logger *zap.Logger) *controller.Controller {
+		config := controller.Config{
 			Host:        identity.Host,
 			Zone:        identity.Zone,
 			Incarnation: identity.Incarnation,
 			Table:       backing,
 			Log:         r,
 			Members:     members,
-			Moves:       moveList{d},
+			Moves:       moveList{c},
 			Now:         time.Now,
 			TicketKey:   registrar.TicketKey,
 			Logger:      logger.Named("controller"),
-		})
+		}
+		if s.Configuration.Source == settings.SourceOperator {
+			log := source.NewLog(operator, backing, registrar.TicketKey)
+			config.Log = log
+			config.Open = log.Open
+			config.Record = a.RecordMove
+			config.KeepFinished = true
+			config.Now = a.Operator.Now
+		}
+		return controller.New(config)
 	},
-	func(identity peer.Identity, calls *exit.Exit, counts *entry.Counts, members *membership.Membership, d *distribution.Distributor, c *controller.Controller, pool *peer.Pool, logger *zap.Logger) *outcomes.Reporter {
+	func(identity peer.Identity, calls *exit.Exit, counts *entry.Counts, members *membership.Membership, applied configuration, c *controller.Controller, pool *peer.Pool, logger *zap.Logger) *outcomes.Reporter {
 		return outcomes.New(outcomes.Config{
 			Host:        identity.Host,
 			Zone:        identity.Zone,
 			Incarnation: identity.Incarnation,
 			Sources:     []outcomes.Source{calls, counts},
 			Members:     members,
-			Moves:       moveList{d},
+			Moves:       moveList{applied},
 			Controllers: c,
 			Peers:       pool,
 			Logger:      logger.Named("outcomes"),
@@ -49,11 +60,11 @@
 ))
 
 // moveList reads the running moves from the configuration in force.
-type moveList struct{ distributor *distribution.Distributor }
+type moveList struct{ configuration configuration }
 
 // RunningMoves implements controller.Moves and outcomes.Moves.
 func (l moveList) RunningMoves() []controller.Move {
-	snapshot := l.distributor.Snapshot()
+	snapshot := l.configuration.Snapshot()
 	if snapshot == nil {
 		return nil
 	}
--- a/mesh/daemon/status.go
+++ b/mesh/daemon/status.go
@@ -3,20 +3,20 @@
 import (
 	"net/http"
 
+	"github.com/gin-gonic/gin"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/ticket"
+	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/admin"
 	"sassafrasnotch.example/mesh/adminserver"
 	"sassafrasnotch.example/mesh/controller"
-	"sassafrasnotch.example/mesh/distribution"
 	"sassafrasnotch.example/mesh/exit"
 	"sassafrasnotch.example/mesh/membership"
 	"sassafrasnotch.example/mesh/peer"
-	"sassafrasnotch.example/mesh/platformhttp"
 	"sassafrasnotch.example/mesh/registrar"
 	"sassafrasnotch.example/mesh/report"
 	"sassafrasnotch.example/mesh/settings"
@@ -26,14 +26,18 @@
 var adminModule = fx.Module("admin", fx.Provide(
 	newViewer,
 	newAdminHandler,
+	newReadiness,
 ))
 
 // adminHandler is the handler of the admin port.
 type adminHandler http.Handler
 
-func newAdminHandler(s settings.Settings, r *registrar.Registrar, calls *exit.Exit, v *viewer, level zap.AtomicLevel, metrics *telemetry.Metrics, keys *keyring) adminHandler {
+func newAdminHandler(s settings.Settings, a adapter.Adapter, r *registrar.Registrar, calls *exit.Exit, v *viewer, ready *readiness, level zap.AtomicLevel, metrics *telemetry.Metrics, keys *keyring, logger *zap.Logger) adminHandler {
 	targets := announcements{Exit: calls, ttl: s.Exit.AnnounceTTL}
 	server := adminserver.NewServer(r, targets, v, level, metrics.Handler())
+	if s.Configuration.Source == settings.SourceOperator {
+		server.AddRoutes(func(engine *gin.Engine) { a.Routes(engine, calls, ready.Ready, logger.Named("targets")) })
+	}
 	if keys.admin != nil && keys.admin.Mutual() {
 		server.UseCertificates(keys)
 	}
@@ -51,19 +55,19 @@
 
 // viewer reports this daemon's view of the system.
 type viewer struct {
-	identity    peer.Identity
-	members     *membership.Membership
-	distributor *distribution.Distributor
-	calls       *exit.Exit
-	pool        *peer.Pool
-	server      *peer.Server
-	controller  *controller.Controller
-	platform    *platformhttp.Client
-	recorder    *report.Recorder
+	identity      peer.Identity
+	members       *membership.Membership
+	configuration configuration
+	calls         *exit.Exit
+	pool          *peer.Pool
+	server        *peer.Server
+	controller    *controller.Controller
+	platform      adapter.Usage
+	recorder      *report.Recorder
 }
 
-func newViewer(identity peer.Identity, members *membership.Membership, d *distribution.Distributor, calls *exit.Exit, pool *peer.Pool, server *peer.Server, c *controller.Controller, recorder *report.Recorder, client *platformhttp.Client) *viewer {
-	return &viewer{identity: identity, members: members, distributor: d, calls: calls, pool: pool, server: server, controller: c, recorder: recorder, platform: client}
+func newViewer(identity peer.Identity, members *membership.Membership, applied configuration, calls *exit.Exit, pool *peer.Pool, server *peer.Server, c *controller.Controller, recorder *report.Recorder, a adapter.Adapter) *viewer {
+	return &viewer{identity: identity, members: members, configuration: applied, calls: calls, pool: pool, server: server, controller: c, recorder: recorder, platform: a.Usage}
 }
 
 // Status implements adminserver.Viewer.
@@ -71,10 +75,10 @@
 	status := admin.Status{
 		Host:              v.identity.Host,
 		Zone:              v.identity.Zone,
-		Head:              v.distributor.Head(),
-		AppliedAt:         v.distributor.AppliedAt(),
-		PlatformReachable: v.distributor.PlatformReachable(),
-		LastRejection:     v.distributor.LastRejection(),
+		Head:              v.configuration.Head(),
+		AppliedAt:         v.configuration.AppliedAt(),
+		PlatformReachable: v.configuration.PlatformReachable(),
+		LastRejection:     v.configuration.LastRejection(),
 		ControlBytes:      v.controlBytes(),
 		Targets:           v.calls.TargetStatus(),
 		Controllers:       v.holding(),
@@ -86,7 +90,7 @@
 			status.Targets = append(status.Targets, targetStatuses(&view[i])...)
 		}
 	}
-	if snapshot := v.distributor.Snapshot(); snapshot != nil {
+	if snapshot := v.configuration.Snapshot(); snapshot != nil {
 		status.Applied = snapshot.Revision()
 		status.Moves = runningMoves(snapshot)
 		for _, problem := range snapshot.Check() {
--- a/mesh/demo/system.go
+++ b/mesh/demo/system.go
@@ -10,12 +10,12 @@
 	"go.uber.org/fx"
 
 	"sassafrasnotch.example/coord/revision"
-	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/daemon"
 	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/standin/loopback"
 	"sassafrasnotch.example/mesh/standin/platformserver"
 	"sassafrasnotch.example/mesh/standin/targetserver"
+	"sassafrasnotch.example/platform"
 )
 
 const (
@@ -70,7 +70,7 @@
 }
 
 func (s *system) startPlatform() error {
-	s.counters = platformserver.New(store.NewMemory())
+	s.counters = platformserver.New()
 	address := loopback.Endpoint(s.block.IP(platformNet, 1), peerPort)
 	s.platform = &http.Server{Addr: address, Handler: s.counters.Handler(), ReadHeaderTimeout: headerWait}
 	listener, err := listen(address)
@@ -84,7 +84,7 @@
 // startHost starts a daemon with one target of each version.
 func (s *system) startHost(ctx context.Context, zone, host int) error {
 	one := s.hostSettings(zone, host)
-	app := daemon.New(one)
+	app := daemon.New(one, platform.Connect)
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("demo: start the daemon on %s: %w", one.Host, err)
 	}
--- a/mesh/entry/admit.go
+++ b/mesh/entry/admit.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"sassafrasnotch.example/coord/balance"
 	"sassafrasnotch.example/coord/claim"
 	"sassafrasnotch.example/coord/revision"
 )
@@ -23,7 +24,7 @@
 // admit checks a request and reads what the call needs to know. It returns why
 // the request is refused, or nil.
 func (c *call) admit() *failure {
-	c.requestID = requestID(c.request)
+	c.requestID = c.entry.requestID(c.request)
 	if c.entry.leaving.Load() {
 		return refused(ReasonLeaving, stepAdmit, "this daemon is stopping").at(c.entry.self.Host)
 	}
@@ -47,14 +48,34 @@
 	if !strings.HasPrefix(c.request.URL.Path, "/") || hasDotSegment(c.request.URL.Path) {
 		return refused(ReasonBadRequest, stepAdmit, "the path is not absolute or has a dot segment")
 	}
-	route, ok := c.snapshot.Match(c.request.URL.Path)
+	route, ok := c.snapshot.Match(c.request.Host, c.request.URL.Path)
 	if !ok {
 		return refused(ReasonNoRoute, stepAdmit, "no route matches the path")
 	}
 	c.route = route
+	c.service = c.entry.pickService(route)
 	return nil
 }
 
+// pickService draws one of the route's services by weight.
+func (e *Entry) pickService(route *revision.Route) string {
+	if len(route.Split) == 0 {
+		return route.Service
+	}
+	sum := 0
+	for _, share := range route.Split {
+		sum += share.Weight
+	}
+	point := balance.Draw(e.deps.Random, sum)
+	for _, share := range route.Split {
+		if point < share.Weight {
+			return share.Service
+		}
+		point -= share.Weight
+	}
+	return route.Split[len(route.Split)-1].Service
+}
+
 // hasDotSegment reports whether the target could read the path as another one.
 func hasDotSegment(urlPath string) bool {
 	if !strings.Contains(urlPath, "/.") {
@@ -90,17 +111,19 @@
 	if c.route.Timeout > 0 {
 		timeout = c.route.Timeout.Std()
 	}
-	if text := c.request.Header.Get(HeaderDeadline); text != "" {
+	if text := c.request.Header.Get(c.entry.deps.Conventions.Deadline); text != "" {
 		millis, err := strconv.ParseInt(text, 10, 64)
 		if err != nil {
-			return refused(ReasonBadRequest, stepAdmit, HeaderDeadline+" is not a number of milliseconds")
+			return refused(ReasonBadRequest, stepAdmit, c.entry.deps.Conventions.Deadline+" is not a number of milliseconds")
 		}
 		if millis <= 0 {
 			return refused(ReasonExpired, stepAdmit, "the deadline has passed")
 		}
 		asked := time.Duration(min(millis, maxTimeout.Milliseconds())) * time.Millisecond
 		c.shortened = asked < timeout
-		timeout = asked
+		if c.route.Timeout == 0 || c.shortened {
+			timeout = asked
+		}
 	}
 	c.began = time.Now()
 	c.deadline = c.began.Add(timeout)
@@ -120,8 +143,8 @@
 }
 
 // requestID returns the caller's id where it is fit for logs, else a new one.
-func requestID(request *http.Request) string {
-	id := request.Header.Get(HeaderRequestID)
+func (e *Entry) requestID(request *http.Request) string {
+	id := request.Header.Get(e.deps.Conventions.RequestID)
 	if id == "" || len(id) > maxRequestID || strings.ContainsFunc(id, unfitForID) {
 		return strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36)
 	}
--- a/mesh/entry/answer.go
+++ b/mesh/entry/answer.go
@@ -73,8 +73,8 @@
 		}
 	}
 	header.Set(HeaderOutcome, retry.Answered.String())
-	header.Set(HeaderRequestID, e.call.requestID)
-	if e.call.entry.leaving.Load() {
+	header.Set(e.call.entry.deps.Conventions.RequestID, e.call.requestID)
+	if e.call.entry.closing.Load() {
 		header.Set("Connection", "close")
 	}
 	if _, ok := header["Content-Type"]; !ok {
--- a/mesh/entry/call.go
+++ b/mesh/entry/call.go
@@ -23,6 +23,7 @@
 	requestID string
 	snapshot  *revision.Snapshot
 	route     *revision.Route
+	service   string // of the route, or the one drawn from its split
 	hops      uint32
 	began     time.Time
 	deadline  time.Time
@@ -69,14 +70,14 @@
 // attemptAll makes attempts until one is answered, and relays its answer. It
 // returns what is known if none was.
 func (c *call) attemptAll() *failure {
-	plan := c.entry.routing.plan(c.snapshot, c.route.Service)
+	plan := c.entry.routing.plan(c.snapshot, c.service)
 	if plan == nil {
-		return refused(ReasonNoTarget, stepBalance, "service "+c.route.Service+" has no split")
+		return refused(ReasonNoTarget, stepBalance, "service "+c.service+" has no split")
 	}
 	plan.budget.Call()
 	choice := plan.Choose(c.entry.deps.Random)
 	if choice == nil {
-		return refused(ReasonNoTarget, stepBalance, "no target of service "+c.route.Service+" is known")
+		return refused(ReasonNoTarget, stepBalance, "no target of service "+c.service+" is known")
 	}
 	c.tried = c.triedArray[:0]
 	var worst *failure
@@ -100,7 +101,7 @@
 // chooseAgain returns where the next attempt goes: to the stable version, and to
 // the targets known by now, which may not be those of the attempt before.
 func (c *call) chooseAgain(last *balance.Choice) *balance.Choice {
-	if plan := c.entry.routing.plan(c.snapshot, c.route.Service); plan != nil {
+	if plan := c.entry.routing.plan(c.snapshot, c.service); plan != nil {
 		if present := plan.Choose(c.entry.deps.Random); present != nil {
 			last = present
 		}
@@ -148,6 +149,7 @@
 		Crashes:    c.crashes,
 		Passed:     c.passed,
 		LastPassed: passed,
+		Most:       c.route.MaxAttempts,
 		Left:       time.Until(c.deadline),
 	}, budget, rand.Float64())
 	return decision.Retry && c.wait(decision.Backoff)
--- a/mesh/entry/claims.go
+++ b/mesh/entry/claims.go
@@ -55,7 +55,7 @@
 func (c *call) claimRequest() claim.Request {
 	path := c.request.URL.RequestURI()
 	return claim.Request{
-		Service:     c.route.Service,
+		Service:     c.service,
 		Key:         c.request.Header.Get(HeaderIdempotencyKey),
 		Attempt:     c.entry.self.Host + "/" + strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36),
 		Fingerprint: claim.Fingerprint(c.request.Method, path, c.request.ContentLength, c.inline),
@@ -99,7 +99,7 @@
 	}
 	header.Set(HeaderOutcome, retry.Answered.String())
 	header.Set(HeaderReplayed, "true")
-	header.Set(HeaderRequestID, c.requestID)
+	header.Set(c.entry.deps.Conventions.RequestID, c.requestID)
 	if outcome.Status != http.StatusNoContent {
 		header.Set("Content-Length", strconv.Itoa(len(outcome.Body)))
 	}
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -53,6 +53,10 @@
 	// Calls is told of every call; it may be nil.
 	Calls CallObserver
 	Log   *zap.Logger
+	// Conventions are DefaultConventions if left out.
+	Conventions *Conventions
+	// Service is the service of this host, told to targets as the origin.
+	Service string
 	// Random drives the balancing and is safe for concurrent use; nil means the
 	// runtime's generator.
 	Random balance.Source
@@ -67,6 +71,8 @@
 	start    time.Time
 	attempts atomic.Uint64
 	leaving  atomic.Bool
+	// closing is set while a stopping entry still serves new requests.
+	closing atomic.Bool
 }
 
 // New returns an entry of the daemon at self.
@@ -77,6 +83,9 @@
 	if deps.Observer == nil {
 		deps.Observer = noObserver{}
 	}
+	if deps.Conventions == nil {
+		deps.Conventions = &DefaultConventions
+	}
 	if deps.Log == nil {
 		deps.Log = zap.NewNop()
 	}
@@ -84,7 +93,7 @@
 		settings: settings,
 		self:     self,
 		deps:     deps,
-		routing:  newRouting(self),
+		routing:  newRouting(self, settings.Retry),
 		start:    time.Now(),
 	}
 	// Attempt ids of a restarted daemon never meet those of its previous run.
@@ -101,8 +110,14 @@
 	e.routing.setTripped(service, version, ticket)
 }
 
+// Close makes the entry end every caller's connection with its next answer.
+func (e *Entry) Close() { e.closing.Store(true) }
+
 // Leave makes the entry refuse new requests; those in flight go on.
-func (e *Entry) Leave() { e.leaving.Store(true) }
+func (e *Entry) Leave() {
+	e.closing.Store(true)
+	e.leaving.Store(true)
+}
 
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -77,8 +77,8 @@
 	c := e.call
 	head := &e.request.head
 	head.RequestId = c.requestID
-	head.Service = c.route.Service
-	head.Version = e.choice.Version
+	head.Service = c.service
+	head.Version = e.endpoint.Version
 	head.Route = c.route.Name
 	head.Method = c.request.Method
 	head.Path = c.request.URL.RequestURI()
@@ -218,8 +218,8 @@
 
 func (e *exchange) observe(failed *failure, took time.Duration) {
 	attempt := Attempt{
-		Service:  e.call.route.Service,
-		Version:  e.choice.Version,
+		Service:  e.call.service,
+		Version:  e.endpoint.Version,
 		Route:    e.call.route.Name,
 		Host:     e.endpoint.Host,
 		Zone:     e.endpoint.Zone,
@@ -234,7 +234,7 @@
 		attempt.Reason = failed.reason
 	} else {
 		e.call.told = Told{
-			Version: e.choice.Version,
+			Version: e.endpoint.Version,
 			Outcome: retry.Answered,
 			Status:  e.status,
 			Cut:     e.cut,
--- a/mesh/entry/fake_test.go
+++ b/mesh/entry/fake_test.go
@@ -245,6 +245,7 @@
 // testSettings are small limits.
 func testSettings() settings.Entry {
 	return settings.Entry{
+		Retry:          settings.Default().Entry.Retry,
 		DefaultTimeout: revision.Duration(20 * time.Second),
 		MaxHeaderBytes: 4096,
 		MaxBodyBytes:   1 << 20,
--- a/mesh/entry/header.go
+++ b/mesh/entry/header.go
@@ -23,26 +23,35 @@
 // ownHeader reports whether the system sets the field itself on each hop.
 func ownHeader(name string) bool {
 	switch name {
-	case HeaderDeadline, HeaderHops, HeaderRequestID, HeaderOutcome, HeaderReplayed, "Content-Length":
+	case HeaderHops, HeaderOutcome, HeaderReplayed, "Content-Length":
 		return true
 	}
 	return false
 }
 
+// sets reports whether the system sets the field by these conventions.
+func (c *Conventions) sets(name string) bool {
+	return name == c.RequestID || name == c.Deadline || c.Origin != "" && name == c.Origin
+}
+
 // requestHeaders returns the fields of a request that travel to the target.
 func requestHeaders(c *call) []*peerpb.Header {
 	fields := c.request.Header
 	named := connectionFields(fields)
+	conventions := c.entry.deps.Conventions
 	list := newHeaderList(fields)
 	for name, values := range fields {
-		if isHopByHop(name) || ownHeader(name) || named[name] {
+		if isHopByHop(name) || ownHeader(name) || conventions.sets(name) || named[name] {
 			continue
 		}
 		for _, value := range values {
 			list.add(name, value)
 		}
 	}
-	list.add(HeaderRequestID, c.requestID)
+	list.add(conventions.RequestID, c.requestID)
+	if conventions.Origin != "" {
+		list.add(conventions.Origin, c.entry.deps.Service)
+	}
 	list.add(HeaderHops, strconv.FormatUint(uint64(c.hops), 10))
 	return list.headers
 }
@@ -53,10 +62,13 @@
 	headers []*peerpb.Header
 }
 
-// newHeaderList returns a list with room for the fields and the two that the
+// ownFields is the number of fields that the system adds at most.
+const ownFields = 3
+
+// newHeaderList returns a list with room for the fields and those that the
 // system sets.
 func newHeaderList(fields http.Header) *headerList {
-	size := 2
+	size := ownFields
 	for _, values := range fields {
 		size += len(values)
 	}
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -83,22 +83,34 @@
 // minRetryAfter is the shortest time told to callers, in whole seconds.
 const minRetryAfter = time.Second
 
+// minPreciseRetryAfter is the shortest time told where fractions are understood:
+// about that of a short request, within which a slot comes free.
+const minPreciseRetryAfter = 50 * time.Millisecond
+
 // retryable reports whether sending the request again later can help.
 func (f *failure) retryable() bool {
 	status := f.reason.status()
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || f.reason == ReasonClaimed
 }
 
+// retryAfter writes a time for the field Retry-After.
+func (c *Conventions) retryAfter(wait time.Duration) string {
+	if c.FractionalRetryAfter {
+		return strconv.FormatFloat(max(wait, minPreciseRetryAfter).Seconds(), 'f', 3, 64)
+	}
+	seconds := int64((max(wait, minRetryAfter) + time.Second - 1) / time.Second)
+	return strconv.FormatInt(seconds, 10)
+}
+
 // tell answers the caller with a failure.
 func (c *call) tell(failed *failure) {
 	c.told = Told{Outcome: failed.outcome, Status: failed.reason.status()}
 	header := c.writer.Header()
 	header.Set(HeaderOutcome, failed.outcome.String())
-	header.Set(HeaderRequestID, c.requestID)
+	header.Set(c.entry.deps.Conventions.RequestID, c.requestID)
 	header.Set("Content-Type", "application/json")
 	if failed.retryable() {
-		seconds := int64((max(failed.retryAfter, minRetryAfter) + time.Second - 1) / time.Second)
-		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+		header.Set("Retry-After", c.entry.deps.Conventions.retryAfter(failed.retryAfter))
 	}
 	if c.mustClose(failed) {
 		header.Set("Connection", "close")
@@ -123,7 +135,7 @@
 	}
 	service := ""
 	if c.route != nil {
-		service = c.route.Service
+		service = c.service
 	}
 	line.Write(
 		zap.String("request_id", c.requestID),
@@ -140,7 +152,7 @@
 	if c.route == nil {
 		return
 	}
-	c.told.Service = c.route.Service
+	c.told.Service = c.service
 	c.told.Departed = c.request.Context().Err() != nil
 	if !c.began.IsZero() {
 		c.told.Took = time.Since(c.began)
@@ -155,5 +167,5 @@
 	case ReasonLimit, ReasonBodyCut, ReasonBodyTooLarge:
 		return true
 	}
-	return c.entry.leaving.Load()
+	return c.entry.closing.Load()
 }
--- a/mesh/entry/routing.go
+++ b/mesh/entry/routing.go
@@ -9,18 +9,21 @@
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/retry"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/mesh/settings"
 )
 
 // routing keeps the balancing table of each service that was called. Tables are
 // built when a call finds that its service's split, the membership or a trip
 // changed; a call that finds them current takes no lock and allocates nothing.
 type routing struct {
-	self  balance.Place
-	index atomic.Pointer[balance.Index]
-	trips atomic.Pointer[map[string]trip] // by service
-	plans atomic.Pointer[map[string]*servicePlan]
+	self   balance.Place
+	budget settings.Retry
+	index  atomic.Pointer[balance.Index]
+	trips  atomic.Pointer[map[string]trip] // by service
+	plans  atomic.Pointer[map[string]*servicePlan]
 	// building serialises changes to the above.
 	building sync.Mutex
+	daemons  int // live members, guarded by building
 }
 
 // trip is the version of a service that is no longer chosen for a move.
@@ -44,8 +47,8 @@
 	trip     trip
 }
 
-func newRouting(self balance.Place) *routing {
-	r := &routing{self: self}
+func newRouting(self balance.Place, budget settings.Retry) *routing {
+	r := &routing{self: self, budget: budget, daemons: 1}
 	r.index.Store(balance.NewIndex(self, nil, nil))
 	r.trips.Store(&map[string]trip{})
 	r.plans.Store(&map[string]*servicePlan{})
@@ -56,6 +59,24 @@
 	r.building.Lock()
 	defer r.building.Unlock()
 	r.index.Store(balance.NewIndex(r.self, members, r.index.Load()))
+	r.daemons = 0
+	for _, member := range members {
+		if member.Status != gossip.Dead {
+			r.daemons++
+		}
+	}
+	for _, plan := range *r.plans.Load() {
+		plan.budget.SetReserve(r.limits().Reserve)
+	}
+}
+
+// limits returns this daemon's part of the retries. The caller holds building.
+func (r *routing) limits() retry.Limits {
+	limits := retry.Limits{Share: r.budget.Share, Reserve: r.budget.Reserve}
+	if r.budget.FleetReserve > 0 {
+		limits.Reserve = r.budget.FleetReserve / max(r.daemons, 1)
+	}
+	return limits
 }
 
 func (r *routing) setTripped(service, version string, ticket uint64) {
@@ -113,7 +134,7 @@
 		trip:     (*r.trips.Load())[split.Service],
 	}
 	input := balance.Input{Split: split, Index: next.index, Tripped: next.trip.covers(split.Move)}
-	next.budget = retry.NewBudget()
+	next.budget = retry.NewBudget(r.limits())
 	if current != nil {
 		input.Previous = current.Plan
 		next.budget = current.budget
--- a/mesh/entry/server.go
+++ b/mesh/entry/server.go
@@ -38,13 +38,15 @@
 	open  atomic.Int64
 	// lameDuck is how long a stopping server goes on to refuse requests.
 	lameDuck time.Duration
+	// serveTime is how long a stopping server goes on to serve new requests.
+	serveTime time.Duration
 }
 
 // NewServer returns a server for the entry. Connections beyond
 // settings.MaxConnections are answered with a refusal and closed; a further
 // tenth beyond that is closed without one.
 func NewServer(settings settings.Entry, entry *Entry, log *zap.Logger) *Server {
-	server := &Server{entry: entry, limit: int64(settings.MaxConnections), lameDuck: lameDuck}
+	server := &Server{entry: entry, limit: int64(settings.MaxConnections), lameDuck: lameDuck, serveTime: settings.LameDuck.Std()}
 	server.http = &http.Server{
 		Handler:           entry,
 		MaxHeaderBytes:    settings.MaxHeaderBytes,
@@ -73,11 +75,27 @@
 // that this daemon leaves; a connection closed at once could have a request on
 // the way, whose caller would not know that it was not run.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.entry.Close()
+	s.serveOn(ctx)
 	s.entry.Leave()
 	s.awaitNoConnections(ctx)
 	return s.http.Shutdown(ctx)
 }
 
+// serveOn serves new requests for the time that callers take to learn that
+// this daemon leaves.
+func (s *Server) serveOn(ctx context.Context) {
+	if s.serveTime <= 0 {
+		return
+	}
+	timer := time.NewTimer(s.serveTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // awaitNoConnections waits for lameDuck at the longest.
 func (s *Server) awaitNoConnections(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.lameDuck)
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"time"
@@ -15,39 +16,98 @@
 	"sassafrasnotch.example/mesh/steperr"
 )
 
+// ErrStale means that an announcement came late.
+var ErrStale = errors.New("the announcement was overtaken by a later one")
+
 var errIncomplete = errors.New("instance, service and version must be set and slots be at least 1")
 
 // Announce takes in or renews a target. An instance that comes back at
-// another address or as another version replaces the former one.
+// another address or as another version replaces the former one. It returns
+// ErrStale for an announcement that a later one or a departure has overtaken.
 func (e *Exit) Announce(a admin.Announcement) error {
-	if err := checkAnnouncement(a); err != nil {
+	if err := e.checkAnnouncement(a); err != nil {
 		return steperr.Wrap(err, "announce", a.Instance)
 	}
 	now := time.Now()
 	e.mu.Lock()
+	err := e.take(a, now)
+	e.mu.Unlock()
+	if err != nil {
+		return steperr.Wrap(err, "announce", a.Instance)
+	}
+	e.changed()
+	return nil
+}
+
+// take carries an announcement out. The caller holds mu.
+func (e *Exit) take(a admin.Announcement, now time.Time) error {
+	if e.overtaken(a) {
+		return ErrStale
+	}
 	t := e.targets[a.Instance]
 	if t != nil && !sameTarget(t.Announcement, a) {
 		e.remove(t)
 		t = nil
 	}
 	if t == nil {
+		e.evict(a)
 		t = e.add(a, now)
 	}
 	t.expires = now.Add(e.settings.AnnounceTTL.Std())
 	t.Slots = a.Slots
+	t.Sequence = a.Sequence
 	t.admission.SetSlots(a.Slots)
 	if (a.Leaving || e.leaving) && !t.Leaving {
 		t.leave()
+		e.log.Info("target leaves", zap.String("instance", t.Instance), zap.Uint64("sequence", a.Sequence),
+			zap.Int("outstanding", t.admission.Load(now).Outstanding))
 	}
-	e.mu.Unlock()
-	e.changed()
 	return nil
 }
 
-func checkAnnouncement(a admin.Announcement) error {
+// evict removes the targets of earlier lifetimes at the address.
+func (e *Exit) evict(a admin.Announcement) {
+	if a.Lifetime == 0 {
+		return
+	}
+	for _, t := range e.targets {
+		if t.Address == a.Address {
+			e.remove(t)
+		}
+	}
+}
+
+// overtaken reports whether something later than the announcement is known: of
+// the instance itself, its departure, or another target at its address.
+func (e *Exit) overtaken(a admin.Announcement) bool {
+	if a.Lifetime == 0 {
+		return false
+	}
+	if left, ok := e.gone[a.Instance]; ok && a.Lifetime <= left.lifetime {
+		return true
+	}
+	for _, t := range e.targets {
+		switch {
+		case t.Instance == a.Instance && t.Lifetime == a.Lifetime:
+			if a.Sequence < t.Sequence {
+				return true
+			}
+		case t.Instance == a.Instance || t.Address == a.Address:
+			if a.Lifetime < t.Lifetime {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (e *Exit) checkAnnouncement(a admin.Announcement) error {
 	if a.Instance == "" || a.Service == "" || a.Version == "" || a.Slots < 1 {
 		return errIncomplete
 	}
+	if e.settings.Target != "" && a.Address != e.settings.Target {
+		return fmt.Errorf("address %q is not that of the target of this host", a.Address)
+	}
 	_, _, err := net.SplitHostPort(a.Address)
 	return err
 }
@@ -55,7 +115,10 @@
 // sameTarget reports whether b renews a. A target that left and announces
 // itself anew has started again.
 func sameTarget(a, b admin.Announcement) bool {
-	if a.Leaving && !b.Leaving {
+	if a.Lifetime != b.Lifetime {
+		return false
+	}
+	if a.Leaving && !b.Leaving && a.Lifetime == 0 {
 		return false
 	}
 	return a.Service == b.Service && a.Version == b.Version && a.Address == b.Address
@@ -67,6 +130,9 @@
 		QueueLength: e.settings.QueueLength,
 		WarmUp:      e.settings.WarmUp.Std(),
 	}
+	if a.Lifetime != 0 {
+		config.WarmUp = a.Cold.Std()
+	}
 	a.Leaving = false
 	t := newTarget(a, config, now)
 	e.targets[a.Instance] = t
@@ -92,12 +158,27 @@
 	e.log.Info("target removed", zap.String("instance", t.Instance))
 }
 
-// Withdraw removes a target.
+// departure is the end of a target's lifetime.
+type departure struct {
+	lifetime uint64
+	at       time.Time
+}
+
+// departureMemory is the time for which a departure is remembered: longer than
+// an announcement is late.
+const departureMemory = time.Minute
+
+// Withdraw removes a target. No announcement of its present lifetime brings it
+// back.
 func (e *Exit) Withdraw(instance string) {
+	now := time.Now()
 	e.mu.Lock()
+	left := departure{at: now, lifetime: uint64(now.UnixMilli())}
 	if t := e.targets[instance]; t != nil {
+		left.lifetime = t.Lifetime
 		e.remove(t)
 	}
+	e.gone[instance] = left
 	e.mu.Unlock()
 	e.changed()
 }
@@ -115,6 +196,11 @@
 		t.conns.expire(now)
 	}
 	e.crashes.expire(now)
+	for instance, left := range e.gone {
+		if now.Sub(left.at) > departureMemory {
+			delete(e.gone, instance)
+		}
+	}
 	e.mu.Unlock()
 	e.changed()
 }
--- a/mesh/exit/answer.go
+++ b/mesh/exit/answer.go
@@ -45,18 +45,30 @@
 }
 
 func (c *call) checkResponse(response *http.Response) error {
-	id := response.Header.Get(HeaderRequestID)
+	conventions := &c.exit.conventions
 	switch {
-	case id != "" && c.head.RequestId != "" && id != c.head.RequestId:
+	case c.crossed(response):
 		return errCrossed
+	case conventions.Signature != "" && succeeded(response) && response.Header.Get(conventions.Signature) == "":
+		return errUnsigned
 	case response.StatusCode == http.StatusSwitchingProtocols:
 		return errSwitched
-	case !framed(c.head.Method, response):
+	case !conventions.Unframed && !framed(c.head.Method, response):
 		return errUnframed
 	}
 	return nil
 }
 
+// crossed reports whether the response names another request.
+func (c *call) crossed(response *http.Response) bool {
+	id := response.Header.Get(c.exit.conventions.RequestID)
+	return id != "" && c.head.RequestId != "" && id != c.head.RequestId
+}
+
+func succeeded(response *http.Response) bool {
+	return response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+}
+
 // framed reports whether the end of the body is marked, by a length or by
 // chunks.
 func framed(method string, response *http.Response) bool {
--- a/mesh/exit/call.go
+++ b/mesh/exit/call.go
@@ -55,7 +55,7 @@
 	}
 	c.ctx, c.cancel = context.WithDeadline(ctx, c.deadline)
 	c.url, c.malformed = url.ParseRequestURI(head.Path)
-	c.header = requestHeader(head)
+	c.header = e.conventions.requestHeader(head)
 	c.fingerprint = fingerprint(head)
 	c.body.call = c
 	c.body.rest = head.InlineBody
--- a/mesh/exit/dispatch.go
+++ b/mesh/exit/dispatch.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -14,6 +16,7 @@
 	errCrossed     = errors.New("the target answered another request")
 	errUnsolicited = errors.New("the target answered before the request was written")
 	errSwitched    = errors.New("the target switched protocols")
+	errUnsigned    = errors.New("the success bears no signature of the target")
 	errUnframed    = errors.New("the answer has no length, so that its end can't be told from a cut")
 )
 
@@ -50,8 +53,15 @@
 
 // finish relays the answer, and keeps the connection if the exchange was whole.
 func (c *call) finish(response *http.Response) result {
-	result := c.relay(response)
-	if result.kind == answered && !response.Close && c.conn.settled() {
+	var result result
+	if refusal := c.turnedAway(response); refusal != nil {
+		result = c.relayRefusal(response, refusal)
+	} else {
+		result = c.relay(response)
+	}
+	whole := result.kind == answered || result.kind == notDispatched
+	if whole && !response.Close && c.conn.settled() {
+		c.conn.keep = c.exit.conventions.keepTime(response)
 		c.target.conns.put(c.conn)
 		return result
 	}
@@ -59,6 +69,31 @@
 	return result
 }
 
+// turnedAway returns why the target did not run the request, or nil if it did.
+func (c *call) turnedAway(response *http.Response) *refusal {
+	conventions := &c.exit.conventions
+	if conventions.Instance != "" && response.StatusCode == http.StatusMisdirectedRequest {
+		c.exit.targetDown(c.target) // its address is another target's now
+		return &refusal{reason: peerpb.RefusalReason_REFUSAL_REASON_NO_TARGET, detail: "another target answers at the address"}
+	}
+	if conventions.NotExecuted == "" || response.Header.Get(conventions.NotExecuted) == "" || c.crossed(response) {
+		return nil
+	}
+	return &refusal{
+		reason: peerpb.RefusalReason_REFUSAL_REASON_OVERLOADED,
+		detail: "the target turned the request away with status " + strconv.Itoa(response.StatusCode),
+	}
+}
+
+// relayRefusal tells the caller that the target did not run the request.
+func (c *call) relayRefusal(response *http.Response, refusal *refusal) result {
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		response.Close = true
+	}
+	c.sendRefusal(refusal)
+	return result{kind: notDispatched, status: response.StatusCode}
+}
+
 // repeatable reports whether a request that failed on a kept connection can be
 // written to another one: nothing of it was written, or it may run twice and
 // the target sent no byte of an answer.
@@ -95,13 +130,29 @@
 		return nil, err
 	}
 	// After a failed write, the target may still have answered.
-	return conn.receive(request)
+	for range maxCrossed {
+		response, err := conn.receive(request)
+		if err != nil || !c.crossed(response) {
+			return response, err
+		}
+		// An extra answer to an earlier request came late; the own one follows.
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+			return nil, errCrossed
+		}
+	}
+	return nil, errCrossed
 }
 
+// maxCrossed bounds the answers to other requests that are passed over.
+const maxCrossed = 3
+
 func (c *call) request() *http.Request {
 	c.url.Scheme = "http"
 	c.url.Host = c.target.Address
-	setDeadline(c.header, time.Until(c.deadline))
+	c.exit.conventions.setDeadline(c.header, time.Until(c.deadline))
+	if name := c.exit.conventions.Instance; name != "" {
+		c.header.Set(name, c.target.Instance)
+	}
 	body, length := c.httpBody()
 	return &http.Request{
 		Method:        c.head.Method,
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -24,6 +24,7 @@
 	self         peer.Identity
 	log          *zap.Logger
 	latencyBound func(service string) time.Duration
+	conventions  Conventions
 	outcomes     outcomes
 
 	changes sync.Mutex // serializes OnChange; taken before mu
@@ -32,6 +33,7 @@
 	mu       sync.Mutex
 	targets  map[string]*target // by instance
 	versions map[versionKey][]*target
+	gone     map[string]departure // targets that left, by instance
 	crashes  crashes
 	onChange func([]gossip.Target)
 	onCrash  func(CrashReport)
@@ -52,6 +54,11 @@
 	return func(e *Exit) { e.latencyBound = bound }
 }
 
+// WithConventions sets the names of the fields that targets understand.
+func WithConventions(c Conventions) Option {
+	return func(e *Exit) { e.conventions = c }
+}
+
 // New returns an Exit without targets.
 func New(s settings.Exit, self peer.Identity, log *zap.Logger, opts ...Option) *Exit {
 	e := &Exit{
@@ -59,6 +66,8 @@
 		self:         self,
 		log:          log,
 		latencyBound: func(string) time.Duration { return 0 },
+		conventions:  DefaultConventions,
+		gone:         make(map[string]departure),
 		outcomes:     newOutcomes(self.Zone),
 		targets:      make(map[string]*target),
 		versions:     make(map[versionKey][]*target),
--- a/mesh/exit/header.go
+++ b/mesh/exit/header.go
@@ -46,7 +46,7 @@
 const ownHeaders = 4
 
 // requestHeader returns the header to send to the target.
-func requestHeader(head *peerpb.CallHead) http.Header {
+func (c *Conventions) requestHeader(head *peerpb.CallHead) http.Header {
 	header := make(http.Header, len(head.Headers)+ownHeaders)
 	values := make([]string, len(head.Headers)) // one allocation for all values
 	for i, h := range head.Headers {
@@ -66,15 +66,17 @@
 		header[headerUserAgent] = nil // else net/http sets its own
 	}
 	if head.RequestId != "" {
-		header.Set(HeaderRequestID, head.RequestId)
+		header.Set(c.RequestID, head.RequestId)
+	}
+	if c.Revision != "" {
+		header.Set(c.Revision, strconv.FormatUint(head.Revision, 10))
 	}
-	header.Set(HeaderRevision, strconv.FormatUint(head.Revision, 10))
 	return header
 }
 
 // setDeadline tells the target the time that is left.
-func setDeadline(header http.Header, left time.Duration) {
-	header.Set(HeaderDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+func (c *Conventions) setDeadline(header http.Header, left time.Duration) {
+	header.Set(c.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 }
 
 // dropNamedByConnection removes the headers that the Connection header lists.
--- a/mesh/exit/targetconn.go
+++ b/mesh/exit/targetconn.go
@@ -35,6 +35,8 @@
 	writer *bufio.Writer
 	reused bool
 	idle   time.Time // when it was put back
+	// keep is how long it may then stay idle.
+	keep time.Duration
 
 	state atomic.Int32
 	// failed is set once the connection, not the body, failed a write.
--- a/mesh/exit/targetpool.go
+++ b/mesh/exit/targetpool.go
@@ -33,7 +33,7 @@
 // get returns an idle connection or opens one.
 func (p *targetPool) get(ctx context.Context) (*targetConn, error) {
 	for conn := p.take(); conn != nil; conn = p.take() {
-		if !idleconn.Stale(conn.Conn) {
+		if time.Since(conn.idle) < conn.keep && !idleconn.Stale(conn.Conn) {
 			conn.reused = true
 			return conn, nil
 		}
@@ -78,12 +78,12 @@
 	}
 }
 
-// expire closes the connections that were idle for targetIdleTimeout.
+// expire closes the connections that were idle for as long as they may be.
 func (p *targetPool) expire(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	count := 0
-	for count < len(p.idle) && now.Sub(p.idle[count].idle) >= targetIdleTimeout {
+	for count < len(p.idle) && now.Sub(p.idle[count].idle) >= p.idle[count].keep {
 		p.idle[count].Close()
 		count++
 	}
--- a/mesh/settings/defaults.go
+++ b/mesh/settings/defaults.go
@@ -19,6 +19,7 @@
 			MaxHeaderBytes: 64 << 10,
 			MaxBodyBytes:   64 * mebibyte,
 			MaxConnections: 5000,
+			Retry:          Retry{Share: 0.1, Reserve: 20},
 		},
 		Peer: Peer{
 			Keepalive:       revision.Duration(500 * time.Millisecond),
@@ -26,9 +27,10 @@
 			MaxStreams:      1024,
 			TLS:             TLS{Reload: reloadInterval},
 		},
-		Gossip:   Gossip{Interval: revision.Duration(time.Second)},
-		Admin:    Admin{TLS: TLS{Reload: reloadInterval}},
-		Platform: Platform{Timeout: revision.Duration(2 * time.Second), TLS: TLS{Reload: reloadInterval}},
+		Configuration: Configuration{Source: SourceTickets},
+		Gossip:        Gossip{Interval: revision.Duration(time.Second)},
+		Admin:         Admin{TLS: TLS{Reload: reloadInterval}},
+		Platform:      Platform{Timeout: revision.Duration(2 * time.Second), TLS: TLS{Reload: reloadInterval}},
 		Exit: Exit{
 			AnnounceTTL:  revision.Duration(3 * time.Second),
 			QueueLength:  16,
--- a/mesh/settings/settings.go
+++ b/mesh/settings/settings.go
@@ -11,6 +11,12 @@
 	Zone   string `json:"zone" validate:"required,name"`
 	Region string `json:"region" validate:"required,name"`
 
+	// Service is the service of the target on this host. The entry names it as
+	// the origin of requests; empty names none.
+	Service string `json:"service"`
+
+	Configuration Configuration `json:"configuration"`
+
 	Entry    Entry    `json:"entry"`
 	Peer     Peer     `json:"peer"`
 	Gossip   Gossip   `json:"gossip"`
@@ -21,6 +27,32 @@
 	Log      Log      `json:"log"`
 }
 
+// The sources of the configuration.
+const (
+	// SourceTickets takes tickets from operators at the admin port.
+	SourceTickets = "tickets"
+	// SourceOperator takes the whole state that operators write to the
+	// platform's store, and speaks the platform's conventions to callers,
+	// targets and the host.
+	SourceOperator = "operator"
+)
+
+// Configuration configures where the accepted state comes from.
+type Configuration struct {
+	Source string `json:"source" validate:"oneof=tickets operator"`
+}
+
+// Retry bounds the requests that are sent to a second target.
+type Retry struct {
+	// Share is the part of the requests that may be retried.
+	Share float64 `json:"share" validate:"gt=0,max=1"`
+	// Reserve is the number of retries beyond it at once.
+	Reserve int `json:"reserve" validate:"min=0"`
+	// FleetReserve, if set, takes the place of Reserve: it is divided over all
+	// live daemons.
+	FleetReserve int `json:"fleetReserve" validate:"min=0"`
+}
+
 // Entry configures the port that callers use.
 type Entry struct {
 	Listen string `json:"listen" validate:"required,hostport"`
@@ -32,6 +64,10 @@
 	MaxBodyBytes int64 `json:"maxBodyBytes" validate:"min=0"`
 	// MaxConnections bounds the open caller connections.
 	MaxConnections int `json:"maxConnections" validate:"min=1"`
+	// LameDuck is the time for which a stopping daemon goes on to serve new
+	// requests, so that callers can find another one; 0 refuses them at once.
+	LameDuck revision.Duration `json:"lameDuck" validate:"min=0"`
+	Retry    Retry             `json:"retry"`
 }
 
 // Peer configures the sessions between daemons.
@@ -65,6 +101,9 @@
 // Admin configures the port for operators and local targets.
 type Admin struct {
 	Listen string `json:"listen" validate:"required,hostport"`
+	// Ready is a second address of the port, for questions whether the daemon
+	// takes requests; empty means none.
+	Ready string `json:"ready" validate:"omitempty,hostport"`
 	// TLS secures the port; with a CA, clients have to show a certificate.
 	TLS TLS `json:"tls"`
 }
@@ -89,6 +128,8 @@
 	WarmUp revision.Duration `json:"warmUp" validate:"min=0"`
 	// DrainTimeout bounds the graceful shutdown.
 	DrainTimeout revision.Duration `json:"drainTimeout" validate:"gt=0"`
+	// Target is the only address that targets may announce; empty means any.
+	Target string `json:"target" validate:"omitempty,hostport"`
 }
 
 // Runtime configures the Go runtime.
--- /dev/null
+++ b/mesh/source/log.go
@@ -0,0 +1,58 @@
+package source
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/store"
+	"sassafrasnotch.example/coord/ticket"
+	"sassafrasnotch.example/mesh/controller"
+)
+
+// Log writes the steps of moves. The rows of the moves are the change that every
+// daemon follows, so there is no other revision to write.
+type Log struct {
+	source    *Source
+	table     store.Table
+	ticketKey func(number uint64) string
+	now       func() time.Time
+}
+
+var _ controller.Log = (*Log)(nil)
+
+// NewLog returns a log that writes to the table.
+func NewLog(source *Source, table store.Table, ticketKey func(uint64) string) *Log {
+	return &Log{source: source, table: table, ticketKey: ticketKey, now: source.reader.Now}
+}
+
+// Append implements controller.Log.
+func (l *Log) Append(ctx context.Context, _ []revision.Resource, compares []store.Compare, writes []store.Write) (uint64, error) {
+	if err := l.table.Txn(ctx, compares, writes); err != nil {
+		return 0, err
+	}
+	return l.source.Head(), nil
+}
+
+// Open creates the ticket of a move. Another daemon may have been first.
+func (l *Log) Open(ctx context.Context, move controller.Move) error {
+	key := l.ticketKey(move.Ticket)
+	value, err := json.Marshal(ticket.Status{
+		Number: move.Ticket,
+		State:  ticket.Accepted,
+		Moves: []ticket.MoveStatus{{
+			Service: move.Service, From: move.From, To: move.To, Verdict: ticket.Running,
+			Step: move.Step, By: move.By, At: l.now(),
+		}},
+	})
+	if err != nil {
+		return err
+	}
+	err = l.table.Txn(ctx, []store.Compare{{Key: key}}, []store.Write{{Key: key, Value: value}})
+	if errors.Is(err, store.ErrConflict) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/mesh/source/view.go
@@ -0,0 +1,158 @@
+package source
+
+import (
+	"fmt"
+	"time"
+
+	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/rollout"
+	"sassafrasnotch.example/coord/ticket"
+)
+
+// view is what is known of the store's rows. It is pure: rows go in, in any
+// order and any number of times, and the newest state comes out. No part of it
+// goes back to an older row.
+type view struct {
+	configuration *Configuration
+	orders        map[string]orderedMove // by service
+	moves         map[string]MoveRow     // by service, the newest of each
+	// barred are the versions that were taken back, by service.
+	barred map[string]map[string]bool
+}
+
+type orderedMove struct {
+	Order
+	announced time.Time // on the store's clock
+}
+
+func newView() *view {
+	return &view{
+		orders: make(map[string]orderedMove),
+		moves:  make(map[string]MoveRow),
+		barred: make(map[string]map[string]bool),
+	}
+}
+
+// configure takes a configuration in. It returns an error, and keeps what is in
+// force, if the configuration is older or not valid as a whole.
+func (v *view) configure(next Configuration) error {
+	present := v.configuration
+	if present != nil && next.Written <= present.Written {
+		return nil // read again
+	}
+	if present != nil && next.Number <= present.Number {
+		return fmt.Errorf("version %d is not newer than version %d", next.Number, present.Number)
+	}
+	v.configuration = &next
+	if _, err := v.snapshot(); err != nil {
+		v.configuration = present
+		return err
+	}
+	return nil
+}
+
+// order takes an order in and reports whether it is new.
+func (v *view) order(next Order, now time.Time) bool {
+	if present, ok := v.orders[next.Service]; ok && present.Written >= next.Written {
+		return false
+	}
+	v.orders[next.Service] = orderedMove{Order: next, announced: now}
+	return true
+}
+
+// move takes the row of a move in.
+func (v *view) move(row MoveRow) {
+	if present, ok := v.moves[row.Service]; ok && present.Written >= row.Written {
+		return
+	}
+	v.moves[row.Service] = row
+	if row.Verdict == ticket.TakenBack {
+		if v.barred[row.Service] == nil {
+			v.barred[row.Service] = make(map[string]bool)
+		}
+		v.barred[row.Service][row.To] = true
+	}
+}
+
+// moving reports whether an order has no verdict yet.
+func (v *view) moving() bool {
+	for service, order := range v.orders {
+		row, ok := v.moves[service]
+		if !ok || row.Ticket < order.Written || row.Verdict == ticket.Running {
+			return true
+		}
+	}
+	return false
+}
+
+// snapshot composes the state, or returns nil without a configuration. Its
+// revision is the newest version of the rows that it was made from.
+func (v *view) snapshot() (*revision.Snapshot, error) {
+	if v.configuration == nil {
+		return nil, nil
+	}
+	newest := v.configuration.Written
+	var resources []revision.Resource
+	for i := range v.configuration.Services {
+		service := &v.configuration.Services[i]
+		split, written := v.split(service.Name)
+		newest = max(newest, written)
+		resources = append(resources, revision.Resource{Service: service}, revision.Resource{Split: split})
+		if version := namedVersion(split); version != "" {
+			resources = append(resources, revision.Resource{Version: &revision.Version{Service: service.Name, Name: version}})
+		}
+	}
+	for i := range v.configuration.Routes {
+		resources = append(resources, revision.Resource{Route: &v.configuration.Routes[i]})
+	}
+	return revision.Compose(newest, v.configuration.Number, resources)
+}
+
+// namedVersion returns the version that a split names beside AnyVersion.
+func namedVersion(split *revision.Split) string {
+	if split.Move != nil {
+		return split.Move.To
+	}
+	for _, share := range split.Shares {
+		if share.Version != revision.AnyVersion {
+			return share.Version
+		}
+	}
+	return ""
+}
+
+// split returns the split of a service with the version of the newest row that
+// it was made from.
+func (v *view) split(service string) (*revision.Split, uint64) {
+	split := revision.Split{
+		Service: service,
+		Shares:  []revision.Share{{Version: revision.AnyVersion, Weight: revision.FullShare}},
+	}
+	row, moved := v.moves[service]
+	written := row.Written
+	if order, ok := v.orders[service]; ok {
+		written = max(written, order.Written)
+		if !moved || row.Ticket < order.Written {
+			row.State, moved = order.start(), true
+		}
+	}
+	if moved && row.Verdict != ticket.TakenBack {
+		split = row.Split()
+	}
+	for version := range v.barred[service] {
+		if split.Move == nil || split.Move.To != version {
+			split.Barred = append(split.Barred, version)
+		}
+	}
+	return &split, written
+}
+
+// start returns the state of a move that no controller has taken up yet. Every
+// daemon announces it when it learns of the order; the controller's row sets the
+// time that holds.
+func (o *orderedMove) start() rollout.State {
+	return rollout.Start(o.Service, revision.Move{
+		Ticket: o.Written, From: revision.AnyVersion, To: o.Version,
+		Target: revision.FullShare, By: o.announced.Add(o.Within),
+	}, revision.PreferSafety, o.announced)
+}
--- a/mesh/standin/cmd/standin/platform.go
+++ b/mesh/standin/cmd/standin/platform.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return c.finish(err)
 	}
-	server := &http.Server{Handler: platformserver.New(nil).Handler()}
+	server := &http.Server{Handler: platformserver.New().Handler()}
 	defer server.Close()
 	go func() { _ = server.Serve(listener) }()
 	address := listener.Addr().String()
--- a/mesh/standin/platformserver/faults.go
+++ b/mesh/standin/platformserver/faults.go
@@ -8,8 +8,14 @@
 
 // Faults are the present misbehaviours of the service.
 type Faults struct {
+	// Only limits the faults to callers with these IP addresses; empty means all.
+	Only []string `json:"only,omitempty"`
 	// Outage answers every operation with 503 and does nothing.
 	Outage bool `json:"outage,omitempty"`
+	// Busy answers every operation with 429 and does nothing.
+	Busy bool `json:"busy,omitempty"`
+	// DropHistory forgets the changes so far, once.
+	DropHistory bool `json:"dropHistory,omitempty"`
 	// Silent accepts every operation, does nothing and never answers.
 	Silent bool `json:"silent,omitempty"`
 	// Delay is added before each operation. A write takes effect after it
@@ -22,8 +28,8 @@
 
 // Counters count the operations that reached the service, by kind.
 type Counters struct {
-	Gets          uint64 `json:"gets"`
-	Scans         uint64 `json:"scans"`
+	Ranges        uint64 `json:"ranges"`
+	Feeds         uint64 `json:"feeds"`
 	ObjectReads   uint64 `json:"objectReads"`
 	Txns          uint64 `json:"txns"`
 	Conflicts     uint64 `json:"conflicts"`
@@ -36,7 +42,7 @@
 }
 
 // Reads returns the sum of all reads that were carried out.
-func (c Counters) Reads() uint64 { return c.Gets + c.Scans + c.ObjectReads }
+func (c Counters) Reads() uint64 { return c.Ranges + c.Feeds + c.ObjectReads }
 
 // Writes returns the sum of all writes that were carried out.
 func (c Counters) Writes() uint64 { return c.Txns + c.ObjectWrites + c.ObjectDeletes }
@@ -70,6 +76,10 @@
 func (s *Server) SetFaults(f Faults) {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
+	if f.DropHistory {
+		f.DropHistory = false
+		s.tables.dropHistory()
+	}
 	s.state.faults = f
 }
 
