Let gossip end only a wait for changes, never a read

Ruled out: a lost connection (the next call answered at once) and the feed's version (a read restarts from the rows). Change: the nudge is listened to while waiting only, and at most twice a second; a first read also takes the rows of moves, so that a finished move is not taken for a new one.

--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -122,6 +122,7 @@
 	reachable atomic.Bool
 	head      atomic.Uint64
 	nudged    chan struct{}
+	nudgedAt  time.Time // guarded by mu
 	// pending tells the goroutine that follows moves that one is running.
 	pending chan struct{}
 	stop    context.CancelFunc
@@ -192,6 +193,12 @@
 	if snapshot := s.Snapshot(); snapshot != nil && snapshot.Revision() >= newest {
 		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.nudgedAt) < nudgeSpacing {
+		return
+	}
+	s.nudgedAt = time.Now()
 	select {
 	case s.nudged <- struct{}{}:
 	default:
@@ -217,31 +224,30 @@
 	f := follower[Changes]{
 		name:    "operator rows",
 		logger:  s.logger,
-		read:    s.reader.Read,
+		read:    s.readAll,
 		await:   s.reader.Await,
 		through: func(c Changes) uint64 { return c.Through },
 		apply:   s.apply,
 		contact: s.contact,
+		nudge:   s.nudged,
 	}
-	for ctx.Err() == nil {
-		round, cancel := context.WithCancel(ctx)
-		release := context.AfterFunc(ctx, cancel)
-		interrupted := make(chan struct{})
-		go func() {
-			defer close(interrupted)
-			select {
-			case <-s.nudged:
-				cancel()
-			case <-round.Done():
-			}
-		}()
-		f.run(round)
-		cancel()
-		<-interrupted
-		release()
-		f.restart = true
-		sleep(ctx, nudgeSpacing)
+	f.run(ctx)
+}
+
+// readAll reads the operator's rows, and those of moves first put in force, so
+// that a daemon that starts does not take a finished move for a new one.
+func (s *Source) readAll(ctx context.Context) (Changes, error) {
+	changes, err := s.reader.Read(ctx)
+	if err != nil || len(changes.Orders) == 0 {
+		return changes, err
+	}
+	moves, err := s.moves.ReadMoves(ctx)
+	if err != nil {
+		s.logger.Info("rows not read", zap.String("rows", "moves"), zap.Error(err))
+		return changes, nil // the configuration has to be in force in time
 	}
+	s.applyMoves(moves)
+	return changes, nil
 }
 
 // followMoves keeps the rows of moves current while one is running. At other
@@ -364,6 +370,9 @@
 	// idle reports that there is nothing to follow; nil means never.
 	idle    func() bool
 	contact func(reached bool)
+	// nudge ends a wait for changes and makes the next exchange a read; it may
+	// be nil.
+	nudge <-chan struct{}
 
 	after uint64
 	// restart makes the next exchange a read of all rows.
@@ -379,6 +388,9 @@
 		switch {
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errNudged):
+			f.logger.Info("read ahead of the feed", zap.String("rows", f.name), zap.Uint64("after", f.after), zap.Error(err))
+			f.restart = true
 		case errors.Is(err, store.ErrTrimmed):
 			f.logger.Info("history of the store is gone", zap.String("rows", f.name), zap.Uint64("after", f.after))
 			f.restart = true
@@ -401,9 +413,30 @@
 	if f.restart || !f.known {
 		return f.read(ctx)
 	}
-	return f.await(ctx, f.after, feedWait)
+	return f.awaitChanges(ctx)
 }
 
+// awaitChanges returns errNudged if it was told to read instead.
+func (f *follower[C]) awaitChanges(ctx context.Context) (C, error) {
+	waiting, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-f.nudge:
+			cancel(errNudged)
+		case <-waiting.Done():
+		}
+	}()
+	changes, err := f.await(waiting, f.after, feedWait)
+	if err != nil && errors.Is(context.Cause(waiting), errNudged) {
+		err = errNudged
+	}
+	return changes, err
+}
+
+// errNudged ends a wait because another daemon has a newer revision.
+var errNudged = errors.New("another daemon has a newer revision")
+
 func sleep(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/mesh/standin/platformserver/server.go
+++ b/mesh/standin/platformserver/server.go
@@ -69,7 +69,9 @@
 }
 
 // Object returns an object by its name on the wire, or store.ErrNotFound.
-func (s *Server) Object(name string) ([]byte, error) { return s.objects.GetObject(context.Background(), name) }
+func (s *Server) Object(name string) ([]byte, error) {
+	return s.objects.GetObject(context.Background(), name)
+}
 
 func (s *Server) putFaults(c *gin.Context) {
 	var faults Faults
