Read the settings again on SIGHUP and when the file changes

Ruled out: a crash, as the code was that of the default action of the signal. Change: a signal or a changed file is read again; what a running daemon can take over is applied (service, retries, lame duck, announcements, log level), the rest is named as needing a restart; a file that is not valid changes nothing. Test: mesh/settings TestWatchAppliesWhatIsValid.

--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -19,20 +19,23 @@
 // Budget bounds retries to a share of calls: it is a token bucket that calls
 // fill and retries empty. It is safe for concurrent use.
 type Budget struct {
-	share   int64        // tokens that a call adds, in tokenUnit
+	share   atomic.Int64 // tokens that a call adds, in tokenUnit
 	reserve atomic.Int64 // tokens that a full budget holds, in tokenUnit
 	spent   atomic.Int64 // in tokenUnit; 0 is a full budget
 }
 
 // NewBudget returns a full budget.
 func NewBudget(limits Limits) *Budget {
-	b := &Budget{share: int64(limits.Share * tokenUnit)}
-	b.SetReserve(limits.Reserve)
+	b := &Budget{}
+	b.SetLimits(limits)
 	return b
 }
 
-// SetReserve changes the number of retries that a full budget holds.
-func (b *Budget) SetReserve(reserve int) { b.reserve.Store(int64(reserve) * tokenUnit) }
+// SetLimits changes the limits.
+func (b *Budget) SetLimits(limits Limits) {
+	b.share.Store(int64(limits.Share * tokenUnit))
+	b.reserve.Store(int64(limits.Reserve) * tokenUnit)
+}
 
 // Call adds a call's share to the budget.
 func (b *Budget) Call() {
@@ -41,7 +44,7 @@
 		if spent == 0 {
 			return
 		}
-		if b.spent.CompareAndSwap(spent, max(spent-b.share, 0)) {
+		if b.spent.CompareAndSwap(spent, max(spent-b.share.Load(), 0)) {
 			return
 		}
 	}
--- a/mesh/cmd/sassafrasd/main.go
+++ b/mesh/cmd/sassafrasd/main.go
@@ -6,8 +6,11 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"go.uber.org/fx"
+	"go.uber.org/zap"
 
 	"sassafrasnotch.example/mesh/daemon"
 	"sassafrasnotch.example/mesh/settings"
@@ -32,17 +35,24 @@
 
 // run runs the daemon until it is asked to stop, and returns the exit code.
 func run(path string) int {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // before the start, or it would end the daemon
 	loaded, err := settings.Load(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitBadInput
 	}
-	app := daemon.New(loaded, platform.Connect)
+	var reloader *daemon.Reloader
+	var logger *zap.Logger
+	app := daemon.New(loaded, platform.Connect, fx.Populate(&reloader, &logger))
 	if err := app.Start(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go settings.Watch(ctx, path, loaded, hangups, logger.Named("settings"), reloader.Apply)
 	<-app.Done()
+	cancel()
 	return stop(app)
 }
 
--- a/mesh/daemon/daemon.go
+++ b/mesh/daemon/daemon.go
@@ -47,6 +47,7 @@
 		adminModule,
 		hostsModule,
 		noticesModule,
+		fx.Provide(newReloader),
 		fx.Invoke(setRuntime, registerMetrics, registerLifecycle),
 	}, options...)
 	return fx.New(all...)
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -71,6 +71,7 @@
 	start    time.Time
 	attempts atomic.Uint64
 	leaving  atomic.Bool
+	service  atomic.Pointer[string] // of this host
 	// closing is set while a stopping entry still serves new requests.
 	closing atomic.Bool
 }
@@ -96,6 +97,7 @@
 		routing:  newRouting(self, settings.Retry),
 		start:    time.Now(),
 	}
+	entry.service.Store(&deps.Service)
 	// Attempt ids of a restarted daemon never meet those of its previous run.
 	entry.attempts.Store(rand.Uint64())
 	return entry
@@ -110,6 +112,12 @@
 	e.routing.setTripped(service, version, ticket)
 }
 
+// Configure changes the service of this host and the bounds of retries.
+func (e *Entry) Configure(service string, budget settings.Retry) {
+	e.service.Store(&service)
+	e.routing.setBudget(budget)
+}
+
 // Close makes the entry end every caller's connection with its next answer.
 func (e *Entry) Close() { e.closing.Store(true) }
 
--- a/mesh/entry/header.go
+++ b/mesh/entry/header.go
@@ -50,7 +50,7 @@
 	}
 	list.add(conventions.RequestID, c.requestID)
 	if conventions.Origin != "" {
-		list.add(conventions.Origin, c.entry.deps.Service)
+		list.add(conventions.Origin, *c.entry.service.Load())
 	}
 	list.add(HeaderHops, strconv.FormatUint(uint64(c.hops), 10))
 	return list.headers
--- a/mesh/entry/routing.go
+++ b/mesh/entry/routing.go
@@ -65,8 +65,20 @@
 			r.daemons++
 		}
 	}
+	r.applyLimits()
+}
+
+func (r *routing) setBudget(budget settings.Retry) {
+	r.building.Lock()
+	defer r.building.Unlock()
+	r.budget = budget
+	r.applyLimits()
+}
+
+// applyLimits hands the limits to every budget. The caller holds building.
+func (r *routing) applyLimits() {
 	for _, plan := range *r.plans.Load() {
-		plan.budget.SetReserve(r.limits().Reserve)
+		plan.budget.SetLimits(r.limits())
 	}
 }
 
--- a/mesh/entry/server.go
+++ b/mesh/entry/server.go
@@ -39,14 +39,15 @@
 	// lameDuck is how long a stopping server goes on to refuse requests.
 	lameDuck time.Duration
 	// serveTime is how long a stopping server goes on to serve new requests.
-	serveTime time.Duration
+	serveTime atomic.Int64 // nanoseconds
 }
 
 // NewServer returns a server for the entry. Connections beyond
 // settings.MaxConnections are answered with a refusal and closed; a further
 // tenth beyond that is closed without one.
 func NewServer(settings settings.Entry, entry *Entry, log *zap.Logger) *Server {
-	server := &Server{entry: entry, limit: int64(settings.MaxConnections), lameDuck: lameDuck, serveTime: settings.LameDuck.Std()}
+	server := &Server{entry: entry, limit: int64(settings.MaxConnections), lameDuck: lameDuck}
+	server.SetLameDuck(settings.LameDuck.Std())
 	server.http = &http.Server{
 		Handler:           entry,
 		MaxHeaderBytes:    settings.MaxHeaderBytes,
@@ -61,6 +62,9 @@
 	return server
 }
 
+// SetLameDuck changes how long a stopping server goes on to serve new requests.
+func (s *Server) SetLameDuck(serve time.Duration) { s.serveTime.Store(int64(serve)) }
+
 // Serve accepts callers until the server is shut down, then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
 	err := s.http.Serve(&limitedListener{Listener: listener, server: s})
@@ -85,10 +89,11 @@
 // serveOn serves new requests for the time that callers take to learn that
 // this daemon leaves.
 func (s *Server) serveOn(ctx context.Context) {
-	if s.serveTime <= 0 {
+	serveTime := time.Duration(s.serveTime.Load())
+	if serveTime <= 0 {
 		return
 	}
-	timer := time.NewTimer(s.serveTime)
+	timer := time.NewTimer(serveTime)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -25,12 +25,12 @@
 // another address or as another version replaces the former one. It returns
 // ErrStale for an announcement that a later one or a departure has overtaken.
 func (e *Exit) Announce(a admin.Announcement) error {
-	if err := e.checkAnnouncement(a); err != nil {
-		return steperr.Wrap(err, "announce", a.Instance)
-	}
 	now := time.Now()
 	e.mu.Lock()
-	err := e.take(a, now)
+	err := e.checkAnnouncement(a)
+	if err == nil {
+		err = e.take(a, now)
+	}
 	e.mu.Unlock()
 	if err != nil {
 		return steperr.Wrap(err, "announce", a.Instance)
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -82,6 +82,14 @@
 	return e
 }
 
+// Configure changes how announcements are taken. Targets keep the queue that
+// they were added with.
+func (e *Exit) Configure(s settings.Exit) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.settings = s
+}
+
 // ServeCall admits and dispatches one call, and answers it on the stream.
 func (e *Exit) ServeCall(ctx context.Context, _ peer.Identity, first *peerpb.CallFrame, s *peer.Stream) (reusable bool) {
 	c, cancel := e.newCall(ctx, first.GetHead(), s)
--- /dev/null
+++ b/mesh/settings/changed.go
@@ -0,0 +1,28 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+)
+
+// Changed returns the paths of the fields in which two settings differ, in the
+// order of the fields. It gives no values, as some are secret.
+func Changed(a, b *Settings) []string {
+	return changed("", reflect.ValueOf(*a), reflect.ValueOf(*b))
+}
+
+func changed(prefix string, a, b reflect.Value) []string {
+	var paths []string
+	for i := range a.NumField() {
+		name, _, _ := strings.Cut(a.Type().Field(i).Tag.Get("json"), ",")
+		x, y := a.Field(i), b.Field(i)
+		if x.Kind() == reflect.Struct {
+			paths = append(paths, changed(prefix+name+".", x, y)...)
+			continue
+		}
+		if !reflect.DeepEqual(x.Interface(), y.Interface()) {
+			paths = append(paths, prefix+name)
+		}
+	}
+	return paths
+}
