--- a/integration/cluster/process.go
+++ b/integration/cluster/process.go
@@ -98,6 +98,9 @@
 // Terminate asks for a graceful stop.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// Hangup tells the process that its settings changed.
+func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
+
 // Wait returns the error of the process once it has ended.
 func (p *Process) Wait(t testing.TB) error {
 	t.Helper()
--- /dev/null
+++ b/mesh/exit/lifetime_test.go
@@ -0,0 +1,98 @@
+package exit
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/mesh/admin"
+	"sassafrasnotch.example/mesh/peer"
+	"sassafrasnotch.example/mesh/settings"
+)
+
+// TestAnnouncementsOfLifetimes replays announcements that come late, or of
+// targets that follow each other under one name or at one address.
+func TestAnnouncementsOfLifetimes(t *testing.T) {
+	const address, other = "127.0.0.1:9", "127.0.0.1:8"
+	beat := func(instance, address string, lifetime, sequence uint64, leaving bool) admin.Announcement {
+		return admin.Announcement{
+			Instance: instance, Service: "desk", Version: "v1", Address: address, Slots: 4,
+			Lifetime: lifetime, Sequence: sequence, Leaving: leaving,
+		}
+	}
+	ready := func(instance string) string { return instance + " " + string(gossip.TargetReady) }
+	leaving := func(instance string) string { return instance + " " + string(gossip.TargetLeaving) }
+	cases := []struct {
+		name  string
+		play  func(e *Exit) error // the error of the last announcement
+		want  []string            // instances with their states
+		stale bool
+	}{
+		{"a late ready does not undo a leave", func(e *Exit) error {
+			_ = e.Announce(beat("i1", address, 100, 5, true))
+			return e.Announce(beat("i1", address, 100, 4, false))
+		}, []string{leaving("i1")}, true},
+		{"a leave holds for the lifetime", func(e *Exit) error {
+			_ = e.Announce(beat("i1", address, 100, 5, true))
+			return e.Announce(beat("i1", address, 100, 6, false))
+		}, []string{leaving("i1")}, false},
+		{"a departure holds for the lifetime", func(e *Exit) error {
+			_ = e.Announce(beat("i1", address, 100, 5, false))
+			e.Withdraw("i1")
+			return e.Announce(beat("i1", address, 100, 6, false))
+		}, nil, true},
+		{"a departure unknown before holds too", func(e *Exit) error {
+			e.Withdraw("i1")
+			return e.Announce(beat("i1", address, 100, 6, false))
+		}, nil, true},
+		{"the same name starts again", func(e *Exit) error {
+			_ = e.Announce(beat("i1", address, 100, 5, true))
+			return e.Announce(beat("i1", address, 200, 1, false))
+		}, []string{ready("i1")}, false},
+		{"an earlier lifetime comes late", func(e *Exit) error {
+			_ = e.Announce(beat("i1", address, 200, 1, false))
+			return e.Announce(beat("i1", address, 100, 9, true))
+		}, []string{ready("i1")}, true},
+		{"another target takes the address", func(e *Exit) error {
+			_ = e.Announce(beat("i1", address, 100, 5, false))
+			return e.Announce(beat("i2", address, 200, 1, false))
+		}, []string{ready("i2")}, false},
+		{"the former target at the address comes late", func(e *Exit) error {
+			_ = e.Announce(beat("i2", address, 200, 1, false))
+			return e.Announce(beat("i1", address, 100, 9, false))
+		}, []string{ready("i2")}, true},
+		{"two targets at two addresses", func(e *Exit) error {
+			_ = e.Announce(beat("i1", address, 100, 1, false))
+			return e.Announce(beat("i2", other, 50, 1, false))
+		}, []string{ready("i1"), ready("i2")}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := New(settings.Default().Exit, peer.Identity{Host: "h1", Zone: "a"}, zap.NewNop())
+			is.Equal(errors.Is(c.play(e), ErrStale), c.stale)
+			var got []string
+			e.mu.Lock()
+			for _, target := range e.sorted() {
+				got = append(got, target.Instance+" "+string(target.stateAt(time.Now())))
+			}
+			e.mu.Unlock()
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+func TestOnlyTheTargetOfTheHostIsTaken(t *testing.T) {
+	is := is.New(t)
+	s := settings.Default().Exit
+	s.Target = "127.0.0.1:9"
+	e := New(s, peer.Identity{Host: "h1"}, zap.NewNop())
+	a := admin.Announcement{Instance: "i1", Service: "desk", Version: "v1", Address: "127.0.0.1:8", Slots: 1}
+	is.True(e.Announce(a) != nil)
+	a.Address = s.Target
+	is.NoErr(e.Announce(a))
+}
--- a/mesh/standin/platformserver/server.go
+++ b/mesh/standin/platformserver/server.go
@@ -21,6 +21,8 @@
 const (
 	PathFaults   = "/faults"   // GET and PUT Faults
 	PathCounters = "/counters" // GET Counters
+	PathOperator = "/operator" // POST a wire.Transaction, as the operator
+	PathRow      = "/row"      // GET ?Table=&Key=: a wire.Row
 )
 
 // Server is the stand-in.
@@ -38,6 +40,8 @@
 	s.handler.GET(PathFaults, func(c *gin.Context) { c.JSON(http.StatusOK, s.Faults()) })
 	s.handler.PUT(PathFaults, s.putFaults)
 	s.handler.GET(PathCounters, func(c *gin.Context) { c.JSON(http.StatusOK, s.Counters()) })
+	s.handler.POST(PathOperator, s.operate)
+	s.handler.GET(PathRow, s.showRow)
 
 	service := s.handler.Group("", s.disturb)
 	service.GET(wire.PathRange, s.getRange)
@@ -83,6 +87,25 @@
 	c.Status(http.StatusNoContent)
 }
 
+// operate changes rows as the operator does, past all faults.
+func (s *Server) operate(c *gin.Context) {
+	var tx wire.Transaction
+	if err := c.ShouldBindJSON(&tx); err != nil {
+		fail(c, http.StatusBadRequest, err.Error())
+		return
+	}
+	c.JSON(http.StatusOK, wire.Committed{Version: s.Write(tx.Puts...), NowMs: s.tables.nowMs()})
+}
+
+func (s *Server) showRow(c *gin.Context) {
+	row, ok := s.Row(c.Query(wire.ParamTable), c.Query("Key"))
+	if !ok {
+		fail(c, http.StatusNotFound, "no such row")
+		return
+	}
+	c.JSON(http.StatusOK, row)
+}
+
 // disturb applies the faults that take hold before an operation.
 func (s *Server) disturb(c *gin.Context) {
 	faults := s.Faults()
