--- a/mesh/daemon/configuration.go
+++ b/mesh/daemon/configuration.go
@@ -32,7 +32,10 @@
 
 var configurationModule = fx.Module("configuration", fx.Provide(
 	func(s settings.Settings, a adapter.Adapter, members *membership.Membership, logger *zap.Logger) *source.Source {
-		return source.New(a.Operator, a.Moves, members, s.Configuration.Settle.Std(), logger.Named("source"))
+		return source.New(a.Operator, a.Moves, members, source.Timing{
+			ApplyWithin: s.Configuration.ApplyWithin.Std(),
+			Settle:      s.Configuration.Settle.Std(),
+		}, logger.Named("source"))
 	},
 	func(s settings.Settings, d *distribution.Distributor, o *source.Source) configuration {
 		if s.Configuration.Source == settings.SourceOperator {
--- a/mesh/settings/defaults.go
+++ b/mesh/settings/defaults.go
@@ -27,10 +27,14 @@
 			MaxStreams:      1024,
 			TLS:             TLS{Reload: reloadInterval},
 		},
-		Configuration: Configuration{Source: SourceTickets, Settle: revision.Duration(2500 * time.Millisecond)},
-		Gossip:        Gossip{Interval: revision.Duration(time.Second)},
-		Admin:         Admin{TLS: TLS{Reload: reloadInterval}},
-		Platform:      Platform{Timeout: revision.Duration(2 * time.Second), TLS: TLS{Reload: reloadInterval}},
+		Configuration: Configuration{
+			Source:      SourceTickets,
+			ApplyWithin: revision.Duration(2 * time.Second),
+			Settle:      revision.Duration(2500 * time.Millisecond),
+		},
+		Gossip:   Gossip{Interval: revision.Duration(time.Second)},
+		Admin:    Admin{TLS: TLS{Reload: reloadInterval}},
+		Platform: Platform{Timeout: revision.Duration(2 * time.Second), TLS: TLS{Reload: reloadInterval}},
 		Exit: Exit{
 			AnnounceTTL:  revision.Duration(3 * time.Second),
 			QueueLength:  16,
--- a/mesh/settings/settings.go
+++ b/mesh/settings/settings.go
@@ -40,6 +40,9 @@
 // Configuration configures where the accepted state comes from.
 type Configuration struct {
 	Source string `json:"source" validate:"oneof=tickets operator"`
+	// ApplyWithin bounds the time from the writing of a configuration until it is
+	// in force. Configurations that follow each other closely share a read.
+	ApplyWithin revision.Duration `json:"applyWithin" validate:"gt=0"`
 	// Settle is, for moves that operators order by the platform's store, the
 	// time without calls to the old version before the verdict.
 	Settle revision.Duration `json:"settle" validate:"min=0"`
--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -106,6 +106,19 @@
 	SetRevision(revision uint64)
 }
 
+// Timing bounds what a source does.
+type Timing struct {
+	// ApplyWithin is the time within which a written configuration is to be in
+	// force.
+	ApplyWithin time.Duration
+	// Settle is the time without calls to the old version before a move is done.
+	Settle time.Duration
+}
+
+// spacingPart is the part of Timing.ApplyWithin that passes between a change and
+// the next look for changes. Most of the bound is left for a read that fails.
+const spacingPart = 0.3
+
 // Source keeps the daemon's copy of the configuration.
 type Source struct {
 	reader  Reader
@@ -113,6 +126,8 @@
 	members Members
 	logger  *zap.Logger
 
+	timing Timing
+
 	mu       sync.Mutex
 	view     *view
 	onApply  []func(*revision.Snapshot)
@@ -134,15 +149,15 @@
 	at       time.Time
 }
 
-// New returns a source that holds no configuration yet. Settle is the time
-// without calls to the old version before a move is done.
-func New(reader Reader, moves Moves, members Members, settle time.Duration, logger *zap.Logger) *Source {
+// New returns a source that holds no configuration yet.
+func New(reader Reader, moves Moves, members Members, timing Timing, logger *zap.Logger) *Source {
 	return &Source{
 		reader:  reader,
 		moves:   moves,
 		members: members,
 		logger:  logger,
-		view:    newView(settle),
+		view:    newView(timing.Settle),
+		timing:  timing,
 		nudged:  make(chan struct{}, 1),
 		pending: make(chan struct{}, 1),
 	}
@@ -231,6 +246,7 @@
 		apply:   s.apply,
 		contact: s.contact,
 		nudge:   s.nudged,
+		spacing: time.Duration(float64(s.timing.ApplyWithin) * spacingPart),
 	}
 	f.run(ctx)
 }
@@ -374,6 +390,9 @@
 	// nudge ends a wait for changes and makes the next exchange a read; it may
 	// be nil.
 	nudge <-chan struct{}
+	// spacing is the pause after a change, so that changes in quick succession
+	// share a read.
+	spacing time.Duration
 
 	after uint64
 	// restart makes the next exchange a read of all rows.
@@ -406,6 +425,7 @@
 			f.known, f.restart = true, false
 			f.after = f.through(changes)
 			f.apply(changes)
+			sleep(ctx, f.spacing)
 		}
 	}
 }
--- a/mesh/source/source_test.go
+++ b/mesh/source/source_test.go
@@ -116,7 +116,7 @@
 
 func follow(t *testing.T, r *rows) *Source {
 	t.Helper()
-	s := New(r, r, told{}, time.Second, zap.NewNop())
+	s := New(r, r, told{}, Timing{ApplyWithin: time.Second, Settle: time.Second}, zap.NewNop())
 	s.Start()
 	t.Cleanup(s.Stop)
 	return s
@@ -291,3 +291,24 @@
 		})
 	}
 }
+
+// A storm of versions costs a read for each part of the bound, not for each
+// version, and the last one is in force within the bound.
+func TestVersionsInQuickSuccessionShareReads(t *testing.T) {
+	is := is.New(t)
+	r := newRows()
+	r.configure(1, "/a/")
+	s := follow(t, r)
+	eventually(t, "the first configuration", func() bool { return s.number() == 1 })
+	const versions = 60
+	for number := range uint64(versions) {
+		r.configure(number+2, "/a/")
+		time.Sleep(10 * time.Millisecond)
+	}
+	written := time.Now()
+	eventually(t, "the last configuration", func() bool { return s.number() == versions+1 })
+	is.True(time.Since(written) < s.timing.ApplyWithin)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	is.True(r.reads < versions/5) // 0.6 s hold two or three pauses of 0.3 s
+}
