--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -357,15 +357,18 @@
 
 // publish puts the state in force if it changed. The caller holds the lock.
 func (s *Source) publish() {
-	present := s.Snapshot()
+	if !s.view.changed {
+		return
+	}
 	next, err := s.view.snapshot()
 	if err != nil {
 		s.reject("configuration", s.view.configuration.Written, err)
 		return
 	}
-	if next == nil || present != nil && next.Revision() <= present.Revision() {
-		return
+	if next == nil {
+		return // no configuration yet
 	}
+	s.view.changed = false
 	s.applied.Store(&applied{snapshot: next, at: time.Now()})
 	s.members.SetRevision(next.Revision())
 	s.logger.Info("configuration applied", zap.Uint64("revision", next.Revision()),
--- a/mesh/source/source_test.go
+++ b/mesh/source/source_test.go
@@ -312,3 +312,17 @@
 	defer r.mu.Unlock()
 	is.True(r.reads < versions/5) // 0.6 s hold two or three pauses of 0.3 s
 }
+
+// The rows of operators and of moves are read apart. A configuration may come
+// after a row of a move that was written later, and has to be put in force.
+func TestConfigurationBehindALaterMoveIsApplied(t *testing.T) {
+	is := is.New(t)
+	r := newRows()
+	s := New(r, r, told{}, Timing{ApplyWithin: time.Second, Settle: time.Second}, zap.NewNop())
+	s.apply(Changes{Configurations: []Configuration{configuration(4, 1, "/a/")}, Orders: []Order{orderOf("v2", 2)}})
+	s.applyMoves(MoveChanges{Moves: []MoveRow{moveOf("v2", 2, 500, ticket.Running, 9)}})
+	s.apply(Changes{Configurations: []Configuration{configuration(5, 7, "/a/", "/b/")}})
+	_, ok := s.Snapshot().Match("", "/b/x")
+	is.True(ok)
+	is.Equal(s.Snapshot().Revision(), uint64(9))
+}
--- a/mesh/source/view.go
+++ b/mesh/source/view.go
@@ -19,6 +19,9 @@
 	// barred are the versions that were taken back, by service.
 	barred map[string]map[string]bool
 	settle time.Duration // of moves
+	// changed is set when a row was taken in since the last snapshot. The
+	// revision does not tell: rows may come behind others that were written later.
+	changed bool
 }
 
 type orderedMove struct {
@@ -50,6 +53,7 @@
 		v.configuration = present
 		return err
 	}
+	v.changed = true
 	return nil
 }
 
@@ -59,6 +63,7 @@
 		return false
 	}
 	v.orders[next.Service] = orderedMove{Order: next, announced: now}
+	v.changed = true
 	return true
 }
 
@@ -68,6 +73,7 @@
 		return
 	}
 	v.moves[row.Service] = row
+	v.changed = true
 	if row.Verdict == ticket.TakenBack {
 		if v.barred[row.Service] == nil {
 			v.barred[row.Service] = make(map[string]bool)
