Log what decided a request, without ever blocking on it

Cause: refusals, unknown outcomes and retries were logged at the debug level only, to standard error, by a logger that waits for its reader. Change: lines go to standard output through a bounded buffer; a line that finds it full is dropped, counted in a metric and told of. Of each message 50 lines a second are written, then one in a hundred. Calls that are not answered or attempted again and changes of members have lines of their own with what decided them. Test: mesh/telemetry TestLogNeverBlocks (output not read, ten times the buffer) and TestLogVolumeIsBounded.

--- a/mesh/daemon/daemon.go
+++ b/mesh/daemon/daemon.go
@@ -71,9 +71,10 @@
 }
 
 var telemetryModule = fx.Module("telemetry", fx.Provide(
-	func(s settings.Settings) (*zap.Logger, zap.AtomicLevel, error) {
-		return telemetry.NewLogger(s.Log.Level, s.Host, s.Zone)
+	func(s settings.Settings) (*telemetry.Log, error) {
+		return telemetry.NewLog(s.Log.Level, s.Host, s.Zone)
 	},
+	func(log *telemetry.Log) (*zap.Logger, zap.AtomicLevel) { return log.Logger, log.Level },
 	telemetry.NewMetrics,
 ))
 
--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -21,6 +21,7 @@
 	"sassafrasnotch.example/mesh/report"
 	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/steperr"
+	"sassafrasnotch.example/mesh/telemetry"
 )
 
 const tickInterval = 250 * time.Millisecond
@@ -31,6 +32,7 @@
 	Settings      settings.Settings
 	Identity      peer.Identity
 	Logger        *zap.Logger
+	Log           *telemetry.Log
 	Pool          *peer.Pool
 	PeerServer    *peer.Server
 	Control       *controlHandler
@@ -111,6 +113,7 @@
 	l.Exit.OnCrash(crashReporter{l.Members, l.Pool}.report)
 	l.Configuration.OnApply(l.Recorder.Applied)
 	l.Members.OnChange(l.Entry.OnMembers)
+	l.Members.OnChange(newMemberLog(l.Logger.Named("membership")).note)
 	l.Members.OnNewerRevision(l.Configuration.NoteRevision)
 	l.Members.OnNotice(l.Notices.obey)
 }
@@ -184,5 +187,6 @@
 	errs = append(errs, l.admin.Close(), l.Members.Stop(ctx), l.Pool.Close())
 	l.background.Wait()
 	l.Logger.Info("daemon stopped", zap.Error(errors.Join(errs...)))
+	l.Log.Close()
 	return errors.Join(errs...)
 }
--- a/mesh/daemon/metrics.go
+++ b/mesh/daemon/metrics.go
@@ -18,17 +18,19 @@
 	viewer   *viewer
 	platform adapter.Usage
 	server   *entry.Server
+	log      *telemetry.Log
 
 	applied, head, reachable       metric.Int64ObservableGauge
 	members, targets, outstanding  metric.Int64ObservableGauge
 	moves, connections             metric.Int64ObservableGauge
 	controlBytes, platformRequests metric.Int64ObservableCounter
+	droppedLines                   metric.Int64ObservableCounter
 }
 
 // registerMetrics creates the daemon's metrics. docs/METRICS.md lists them.
-func registerMetrics(m *telemetry.Metrics, v *viewer, a adapter.Adapter, server *entry.Server) error {
+func registerMetrics(m *telemetry.Metrics, v *viewer, a adapter.Adapter, server *entry.Server, log *telemetry.Log) error {
 	meter := m.Meter("daemon")
-	g := &gauges{viewer: v, platform: a.Usage, server: server}
+	g := &gauges{viewer: v, platform: a.Usage, server: server, log: log}
 	var failed error
 	gauge := func(name, description string) metric.Int64ObservableGauge {
 		instrument, err := meter.Int64ObservableGauge(name, metric.WithDescription(description))
@@ -54,11 +56,12 @@
 	g.connections = gauge("sassafras_caller_connections", "Open connections of callers")
 	g.controlBytes = counter("sassafras_control_bytes", "By", "Bytes spent on control by direction")
 	g.platformRequests = counter("sassafras_platform_requests", "{request}", "Operations started at the platform by kind")
+	g.droppedLines = counter("sassafras_log_dropped", "{line}", "Log lines dropped because the output was not read")
 	if failed != nil {
 		return failed
 	}
 	_, err := meter.RegisterCallback(g.observe, g.applied, g.head, g.reachable, g.members, g.targets,
-		g.outstanding, g.moves, g.connections, g.controlBytes, g.platformRequests)
+		g.outstanding, g.moves, g.connections, g.controlBytes, g.platformRequests, g.droppedLines)
 	return err
 }
 
@@ -77,6 +80,7 @@
 	reads, writes := g.platform.Operations()
 	o.ObserveInt64(g.platformRequests, int64(reads), label("kind", "read"))
 	o.ObserveInt64(g.platformRequests, int64(writes), label("kind", "write"))
+	o.ObserveInt64(g.droppedLines, int64(g.log.Dropped()))
 	return nil
 }
 
--- a/mesh/entry/call.go
+++ b/mesh/entry/call.go
@@ -94,6 +94,7 @@
 		if !c.retry(failed, plan.budget) {
 			return worst
 		}
+		c.logRetry(failed)
 		choice = c.chooseAgain(choice)
 	}
 }
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -127,24 +127,44 @@
 	c.log(failed)
 }
 
-// log writes a line for the failure at the debug level.
+// log writes a line for the failure.
 func (c *call) log(failed *failure) {
-	line := c.entry.deps.Log.Check(zap.DebugLevel, "call not answered")
+	line := c.entry.deps.Log.Check(zap.InfoLevel, "call not answered")
 	if line == nil {
 		return
 	}
-	service := ""
-	if c.route != nil {
-		service = c.service
+	line.Write(append(c.decidedBy(failed), zap.Int("status", failed.reason.status()), zap.Int("attempts", len(c.tried)),
+		zap.Duration("retry_after", failed.retryAfter))...)
+}
+
+// logRetry writes a line for a further attempt.
+func (c *call) logRetry(failed *failure) {
+	if line := c.entry.deps.Log.Check(zap.InfoLevel, "call attempted again"); line != nil {
+		line.Write(append(c.decidedBy(failed), zap.Int("attempts", len(c.tried)))...)
 	}
-	line.Write(
+}
+
+// decidedBy returns what a decision on the call rests on.
+func (c *call) decidedBy(failed *failure) []zap.Field {
+	fields := []zap.Field{
 		zap.String("request_id", c.requestID),
-		zap.String("service", service),
+		zap.String("service", c.service),
 		zap.String("step", failed.step),
 		zap.String("peer", failed.peer),
 		zap.Stringer("outcome", failed.outcome),
 		zap.String("reason", string(failed.reason)),
-	)
+		zap.String("detail", failed.detail),
+	}
+	if c.route != nil {
+		fields = append(fields, zap.String("route", c.route.Name))
+	}
+	if c.snapshot != nil {
+		fields = append(fields, zap.Uint64("revision", c.snapshot.Revision()))
+	}
+	if !c.deadline.IsZero() {
+		fields = append(fields, zap.Duration("left", time.Until(c.deadline)), zap.Duration("took", time.Since(c.began)))
+	}
+	return fields
 }
 
 // observe tells the observer of calls what the caller was told.
--- a/mesh/telemetry/log.go
+++ b/mesh/telemetry/log.go
@@ -3,8 +3,12 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
+	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // Names of log fields, the same in every part of the system.
@@ -18,23 +22,48 @@
 	FieldZone      = "zone"
 	FieldService   = "service"
 	FieldVersion   = "version"
+	FieldRoute     = "route"
+	FieldOutcome   = "outcome"
+	FieldReason    = "reason"
 )
 
-// NewLogger returns a logger that writes JSON lines to standard error, and the
-// level by which it can be turned while running.
-func NewLogger(level, host, zone string) (*zap.Logger, zap.AtomicLevel, error) {
+// Bounds of the volume under load: of each message, the first linesPerSecond in
+// a second are written and then one in everyLine. A second of a few hundred calls
+// with one refusal in ten is written whole.
+const (
+	linesPerSecond = 50
+	everyLine      = 100
+)
+
+// Log is a logger that never blocks its callers.
+type Log struct {
+	*zap.Logger
+	Level zap.AtomicLevel
+	out   *asyncWriter
+}
+
+// Dropped returns the number of lines that found no room because the output was
+// not read.
+func (l *Log) Dropped() uint64 { return l.out.dropped.Load() }
+
+// Close writes what is left, for at most flushLimit.
+func (l *Log) Close() { l.out.close() }
+
+// NewLog returns a log of JSON lines on standard output. Its level can be turned
+// while it runs.
+func NewLog(level, host, zone string) (*Log, error) { return newLog(os.Stdout, level, host, zone) }
+
+func newLog(output io.Writer, level, host, zone string) (*Log, error) {
 	atomic, err := zap.ParseAtomicLevel(level)
 	if err != nil {
-		return nil, atomic, fmt.Errorf("telemetry: log level: %w", err)
+		return nil, fmt.Errorf("telemetry: log level: %w", err)
 	}
-	config := zap.NewProductionConfig()
-	config.Level = atomic
-	config.DisableStacktrace = true
-	config.DisableCaller = true
-	config.InitialFields = map[string]any{FieldHost: host, FieldZone: zone}
-	logger, err := config.Build()
-	if err != nil {
-		return nil, atomic, fmt.Errorf("telemetry: build the logger: %w", err)
+	out := newAsyncWriter(output)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, atomic)
+	sampled := zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, everyLine)
+	logger := zap.New(sampled, zap.Fields(zap.String(FieldHost, host), zap.String(FieldZone, zone)))
+	out.onDrop = func(lines uint64) {
+		logger.Warn("log lines dropped", zap.Uint64("lines", lines))
 	}
-	return logger, atomic, nil
+	return &Log{Logger: logger, Level: atomic, out: out}, nil
 }
