Judge waits by the service times of routes, and run urgent requests first

Cause: a wait was judged by the mean service time of all requests, in order of arrival. Change: service times are kept by route; higher priority waits in front, and those behind that can no longer be in time are refused at once.

--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -1,8 +1,11 @@
 // Package admission decides which requests a target runs, which wait and
 // which are refused. A target never has more requests outstanding than slots;
-// a short first-come queue, bounded by its length and by the deadlines of
-// those who wait, absorbs bursts. Bounding the work before each replica keeps
-// queueing where it can still be refused.
+// a short queue, bounded by its length and by the deadlines of those who wait,
+// absorbs bursts. It answers overload by requests of unlike length and urgency:
+// the urgent ones, as calls for which a caller's work waits, run first, and a
+// wait is judged by the service times of the routes in the queue, so that short
+// calls are not refused for the length of others. Bounding the work before each
+// replica keeps queueing where it can still be refused.
 //
 // The decisions are pure: the caller gives the time and carries them out.
 package admission
@@ -26,8 +29,11 @@
 type Request struct {
 	ID       uint64
 	Deadline time.Time
-	// Priority orders requests when the queue is full; higher is kept longer.
+	// Priority orders the requests that wait; higher runs first and is kept
+	// longer.
 	Priority int
+	// Kind groups requests that take about the same time, as those of a route.
+	Kind string
 }
 
 // Verdict is what becomes of a request.
@@ -80,13 +86,14 @@
 	started     time.Time
 	leaving     bool
 	outstanding int
-	queue       []Request // in order of arrival
+	queue       []Request // by priority, then in order of arrival
 	took        average
+	kinds       map[string]*average
 }
 
 // NewTarget returns the state of a cold target without work.
 func NewTarget(config Config, now time.Time) *Target {
-	return &Target{config: config, started: now}
+	return &Target{config: config, started: now, kinds: make(map[string]*average)}
 }
 
 // SetSlots changes the number of slots. Requests that run are not affected.
@@ -127,63 +134,101 @@
 	case t.Free(now):
 		t.outstanding++
 		return Action{ID: r.ID, Verdict: Run}, nil
-	case t.late(r, len(t.queue), now):
+	}
+	place := t.place(r)
+	if t.late(r, place, now) {
 		return refuse(r, Overloaded), nil
 	}
-	return t.enqueue(r)
+	return t.enqueue(r, place, now)
 }
 
-// enqueue puts the request at the end of the queue. When the queue is full
-// the youngest request of the lowest priority, which may be r, is refused.
-func (t *Target) enqueue(r Request) (Action, []Action) {
-	waits := Action{ID: r.ID, Verdict: Wait}
-	if len(t.queue) < t.config.QueueLength {
-		t.queue = append(t.queue, r)
-		return waits, nil
-	}
-	victim := t.lowest()
-	if victim < 0 || t.queue[victim].Priority >= r.Priority {
-		return refuse(r, Overloaded), nil
+// enqueue puts the request behind those of its priority and above, and refuses
+// those that can no longer be in time for it. When the queue is full, the
+// youngest request of the lowest priority, which may be r, is refused.
+func (t *Target) enqueue(r Request, place int, now time.Time) (Action, []Action) {
+	var shed []Action
+	if len(t.queue) >= t.config.QueueLength {
+		last := len(t.queue) - 1
+		if place > last {
+			return refuse(r, Overloaded), nil
+		}
+		shed = append(shed, refuse(t.queue[last], Overloaded))
+		t.queue = t.queue[:last]
 	}
-	shed := refuse(t.queue[victim], Overloaded)
-	t.queue = append(slices.Delete(t.queue, victim, victim+1), r)
-	return waits, []Action{shed}
-}
-
-// lowest returns the index of the youngest request of the lowest priority, or
-// -1 if none waits.
-func (t *Target) lowest() int {
-	victim := -1
-	for i, r := range t.queue {
-		if victim < 0 || r.Priority <= t.queue[victim].Priority {
-			victim = i
+	t.queue = slices.Insert(t.queue, place, r)
+	return Action{ID: r.ID, Verdict: Wait}, append(shed, t.shedLate(place+1, now)...)
+}
+
+// shedLate refuses the requests from a place in the queue on that would miss
+// their deadlines.
+func (t *Target) shedLate(from int, now time.Time) []Action {
+	var shed []Action
+	for i := from; i < len(t.queue); {
+		if !t.late(t.queue[i], i, now) {
+			i++
+			continue
 		}
+		shed = append(shed, refuse(t.queue[i], Overloaded))
+		t.queue = slices.Delete(t.queue, i, i+1)
 	}
-	return victim
+	return shed
+}
+
+// place returns the place in the queue of a request that arrives.
+func (t *Target) place(r Request) int {
+	place := len(t.queue)
+	for place > 0 && t.queue[place-1].Priority < r.Priority {
+		place--
+	}
+	return place
 }
 
 // late reports whether a request with ahead others before it would miss its
 // deadline, judging by recent service times.
 func (t *Target) late(r Request, ahead int, now time.Time) bool {
-	expected := t.wait(ahead, now) + t.took.value
+	expected := t.wait(ahead, now) + t.serviceTime(r.Kind)
 	return now.Add(expected).After(r.Deadline)
 }
 
-// wait estimates the time until a request with ahead others before it runs.
+// wait estimates the time until a request with ahead others before it runs: one
+// of those that run has to end, and those ahead have to begin.
 func (t *Target) wait(ahead int, now time.Time) time.Duration {
-	return t.took.value * time.Duration(ahead+1) / time.Duration(max(t.open(now), 1))
+	work := t.took.value
+	for _, r := range t.queue[:ahead] {
+		work += t.serviceTime(r.Kind)
+	}
+	return work / time.Duration(max(t.open(now), 1))
+}
+
+// serviceTime estimates how long a request of a kind runs.
+func (t *Target) serviceTime(kind string) time.Duration {
+	if known := t.kinds[kind]; known != nil {
+		return known.value
+	}
+	return t.took.value
 }
 
 // RetryAfter estimates when a refused request would find room.
 func (t *Target) RetryAfter(now time.Time) time.Duration { return t.wait(len(t.queue), now) }
 
-// Done frees the slot of a request that ran for the duration took and decides
-// on those that wait.
-func (t *Target) Done(took time.Duration, now time.Time) []Action {
+// Done frees the slot of a request of a kind that ran for the duration took and
+// decides on those that wait.
+func (t *Target) Done(kind string, took time.Duration, now time.Time) []Action {
 	t.took.add(took)
+	known := t.kinds[kind]
+	if known == nil && len(t.kinds) < maxKinds {
+		known = &average{}
+		t.kinds[kind] = known
+	}
+	if known != nil {
+		known.add(took)
+	}
 	return t.Abandon(now)
 }
 
+// maxKinds bounds the kinds whose service times are kept apart.
+const maxKinds = 64
+
 // Abandon frees the slot of a request that was not dispatched and decides on
 // those that wait.
 func (t *Target) Abandon(now time.Time) []Action {
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -48,7 +48,7 @@
 	c.target = t
 	e.lastCall++
 	c.id = e.lastCall
-	request := admission.Request{ID: c.id, Deadline: c.deadline, Priority: int(c.head.Priority)}
+	request := admission.Request{ID: c.id, Deadline: c.deadline, Priority: int(c.head.Priority), Kind: c.head.Route}
 	action, shed := t.admission.Arrive(request, now)
 	t.decide(shed)
 	switch action.Verdict {
@@ -141,7 +141,7 @@
 	if r.kind == answered {
 		e.crashes.clear(c.fingerprint, now)
 	}
-	c.target.decide(c.target.admission.Done(took, now))
+	c.target.decide(c.target.admission.Done(c.head.Route, took, now))
 	e.mu.Unlock()
 	e.forget()
 }
