Try: let calls go by the pace of endpoints

Cause: workers of a service differ in speed and some turn slow; the choice of two looks at the work outstanding only.

--- a/mesh/entry/call.go
+++ b/mesh/entry/call.go
@@ -196,8 +196,9 @@
 		attempt:  c.entry.attempts.Add(1),
 	}
 	failed := e.run()
-	e.judge(failed)
-	e.observe(failed, c.entry.now()-started)
+	took := c.entry.now() - started
+	e.judge(failed, took)
+	e.observe(failed, took)
 	if e.cut {
 		c.abort()
 	}
