Take the pace of endpoints back

The outstanding work that a host reports with each answer already shows most of what a slow worker does.

--- a/coord/balance/group.go
+++ b/coord/balance/group.go
@@ -21,13 +21,12 @@
 type Group struct {
 	tiers [tierCount][]*Endpoint
 	size  int
-	paces *paces
 	// ejecting serialises ejections, so that their share stays bounded.
 	ejecting sync.Mutex
 }
 
-func newGroup(endpoints []*Endpoint, self Place, paces *paces) *Group {
-	group := &Group{size: len(endpoints), paces: paces}
+func newGroup(endpoints []*Endpoint, self Place) *Group {
+	group := &Group{size: len(endpoints)}
 	for _, endpoint := range endpoints {
 		tier := self.tier(endpoint)
 		group.tiers[tier] = append(group.tiers[tier], endpoint)
@@ -94,8 +93,7 @@
 	return best
 }
 
-// pickOfTwo draws two endpoints and returns the one that is likely to answer
-// first, with its load. Workers of a service differ in speed, and some turn slow.
+// pickOfTwo draws two endpoints and returns the less loaded one.
 func pickOfTwo(tier []*Endpoint, random Source, now time.Duration, tried []string, fits filter) (*Endpoint, float64) {
 	first := draw(tier, random, now, tried, fits, nil)
 	if first == nil {
@@ -106,7 +104,7 @@
 	if second == nil {
 		return first, firstLoad
 	}
-	if secondLoad := second.Load(now); second.cost(secondLoad, now) < first.cost(firstLoad, now) {
+	if secondLoad := second.Load(now); secondLoad < firstLoad {
 		return second, secondLoad
 	}
 	return first, firstLoad
--- a/coord/balance/index.go
+++ b/coord/balance/index.go
@@ -35,7 +35,6 @@
 // states of its endpoints.
 type Index struct {
 	self   Place
-	paces  *paces
 	groups map[VersionKey]*Group
 }
 
@@ -49,13 +48,10 @@
 			addMember(endpoints, &members[i], states)
 		}
 	}
-	index := &Index{self: self, paces: newPaces(), groups: make(map[VersionKey]*Group, len(endpoints))}
-	if previous != nil {
-		index.paces = previous.paces
-	}
+	index := &Index{self: self, groups: make(map[VersionKey]*Group, len(endpoints))}
 	for key, list := range endpoints {
 		slices.SortFunc(list, func(a, b *Endpoint) int { return strings.Compare(a.Host, b.Host) })
-		index.groups[key] = newGroup(list, self, index.paces)
+		index.groups[key] = newGroup(list, self)
 	}
 	return index
 }
@@ -80,7 +76,7 @@
 	slices.SortFunc(endpoints, func(a, b *Endpoint) int {
 		return cmp.Or(strings.Compare(a.Host, b.Host), strings.Compare(a.Version, b.Version))
 	})
-	return newGroup(endpoints, x.self, x.paces)
+	return newGroup(endpoints, x.self)
 }
 
 type stateKey struct {
--- a/coord/balance/plan.go
+++ b/coord/balance/plan.go
@@ -113,7 +113,7 @@
 		return group
 	}
 	key := VersionKey{i.Split.Service, version}
-	return newGroup(chosen(group.Endpoints(), key, i.Split.Move.Ticket, i.Split.Move.Hosts), i.Index.self, i.Index.paces)
+	return newGroup(chosen(group.Endpoints(), key, i.Split.Move.Ticket, i.Split.Move.Hosts), i.Index.self)
 }
 
 // named returns the endpoints of a version as the split names it.
--- a/coord/balance/state.go
+++ b/coord/balance/state.go
@@ -29,7 +29,6 @@
 	reportedAt  atomic.Int64 // nanoseconds of now
 	avoidUntil  atomic.Int64 // nanoseconds of now
 	health      health
-	pace        pace
 }
 
 // Endpoint is one version of a service on one host.
--- a/mesh/entry/call.go
+++ b/mesh/entry/call.go
@@ -196,9 +196,8 @@
 		attempt:  c.entry.attempts.Add(1),
 	}
 	failed := e.run()
-	took := c.entry.now() - started
-	e.judge(failed, took)
-	e.observe(failed, took)
+	e.judge(failed)
+	e.observe(failed, c.entry.now()-started)
 	if e.cut {
 		c.abort()
 	}
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -199,7 +199,7 @@
 }
 
 // judge records what the exchange says about the endpoint's health.
-func (e *exchange) judge(failed *failure, took time.Duration) {
+func (e *exchange) judge(failed *failure) {
 	now := e.call.entry.now()
 	switch {
 	case e.call.departed():
@@ -208,7 +208,6 @@
 		// A hasty caller says nothing about the host.
 	case failed == nil && !e.cut && e.status < http.StatusInternalServerError:
 		e.choice.Group.Succeed(e.endpoint)
-		e.choice.Group.Answered(e.endpoint, e.call.route.Name, took, now)
 	case failed == nil || failed.reason.againstHost():
 		e.choice.Group.Fail(e.endpoint, now)
 	}
