Split the source of configurations by what its files do

Cause: one file held the types of rows, the follower of a feed and the source. Change: files only; no code changes.

--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -6,8 +6,6 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,8 +13,6 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/revision"
-	"sassafrasnotch.example/coord/rollout"
-	"sassafrasnotch.example/coord/store"
 )
 
 const (
@@ -31,76 +27,6 @@
 	nudgeSpacing = 500 * time.Millisecond
 )
 
-// Reader reads what operators wrote.
-type Reader interface {
-	// Read returns all that is in force.
-	Read(ctx context.Context) (Changes, error)
-	// Await returns what changed after a version of the store, once there is
-	// something or the wait is over. The error is store.ErrTrimmed if the store
-	// no longer knows.
-	Await(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
-	// Now returns the time of the store's clock.
-	Now() time.Time
-}
-
-// Moves reads the rows of moves.
-type Moves interface {
-	// ReadMoves returns the state of every move.
-	ReadMoves(ctx context.Context) (MoveChanges, error)
-	// AwaitMoves is to ReadMoves what Reader.Await is to Reader.Read.
-	AwaitMoves(ctx context.Context, after uint64, wait time.Duration) (MoveChanges, error)
-}
-
-// Changes are rows of the operator, decoded.
-type Changes struct {
-	// Through is the version of the store to continue from.
-	Through        uint64
-	Configurations []Configuration // in the order of their writing
-	Orders         []Order
-	// Invalid are the rows that could not be decoded; nothing of them applies.
-	Invalid []Invalid
-}
-
-// Configuration is the whole accepted state at one version.
-type Configuration struct {
-	// Number is the operator's version, the number of its ticket.
-	Number uint64
-	// Written is the version of the store at which it was written.
-	Written  uint64
-	Services []revision.Service
-	Routes   []revision.Route
-}
-
-// Order is the order to move a service's traffic to a version.
-type Order struct {
-	Service string
-	Version string
-	Within  time.Duration
-	// Written is the version of the store at which it was given.
-	Written uint64
-}
-
-// Invalid is a row that could not be decoded.
-type Invalid struct {
-	Key     string
-	Written uint64
-	Cause   error
-}
-
-// MoveChanges are rows of moves, decoded.
-type MoveChanges struct {
-	Through uint64
-	Moves   []MoveRow
-	Invalid []Invalid
-}
-
-// MoveRow is the state of a move with the version of the store at which it was
-// written.
-type MoveRow struct {
-	rollout.State
-	Written uint64
-}
-
 // Members tells and learns revisions by gossip.
 type Members interface {
 	SetRevision(revision uint64)
@@ -378,94 +304,3 @@
 		notify(next)
 	}
 }
-
-// follower reads a set of rows and then the changes to them.
-type follower[C any] struct {
-	name    string
-	logger  *zap.Logger
-	read    func(context.Context) (C, error)
-	await   func(context.Context, uint64, time.Duration) (C, error)
-	through func(C) uint64
-	apply   func(C)
-	// idle reports that there is nothing to follow; nil means never.
-	idle    func() bool
-	contact func(reached bool)
-	// nudge ends a wait for changes and makes the next exchange a read; it may
-	// be nil.
-	nudge <-chan struct{}
-	// spacing is the pause after a change, so that changes in quick succession
-	// share a read.
-	spacing time.Duration
-
-	after uint64
-	// restart makes the next exchange a read of all rows.
-	restart bool
-	known   bool
-}
-
-// run follows until the context ends or the follower is idle.
-func (f *follower[C]) run(ctx context.Context) {
-	pause := retryFirst
-	for ctx.Err() == nil && (f.idle == nil || !f.idle() || f.restart) {
-		changes, err := f.exchange(ctx)
-		switch {
-		case ctx.Err() != nil:
-			return
-		case errors.Is(err, errNudged):
-			f.logger.Info("read ahead of the feed", zap.String("rows", f.name), zap.Uint64("after", f.after), zap.Error(err))
-			f.restart = true
-		case errors.Is(err, store.ErrTrimmed):
-			f.logger.Info("history of the store is gone", zap.String("rows", f.name), zap.Uint64("after", f.after))
-			f.restart = true
-		case err != nil:
-			f.contact(false)
-			f.logger.Info("rows not read", zap.String("rows", f.name), zap.Error(err))
-			sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, retryLimit)
-		default:
-			pause = retryFirst
-			f.contact(true)
-			f.known, f.restart = true, false
-			f.after = f.through(changes)
-			f.apply(changes)
-			sleep(ctx, f.spacing)
-		}
-	}
-}
-
-func (f *follower[C]) exchange(ctx context.Context) (C, error) {
-	if f.restart || !f.known {
-		return f.read(ctx)
-	}
-	return f.awaitChanges(ctx)
-}
-
-// awaitChanges returns errNudged if it was told to read instead.
-func (f *follower[C]) awaitChanges(ctx context.Context) (C, error) {
-	waiting, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	go func() {
-		select {
-		case <-f.nudge:
-			cancel(errNudged)
-		case <-waiting.Done():
-		}
-	}()
-	changes, err := f.await(waiting, f.after, feedWait)
-	if err != nil && errors.Is(context.Cause(waiting), errNudged) {
-		err = errNudged
-	}
-	return changes, err
-}
-
-// errNudged ends a wait because another daemon has a newer revision.
-var errNudged = errors.New("another daemon has a newer revision")
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
