Put back what two checks of the store's client asked

Cause: when the client moved to the published protocol, its table of faults lost the row of a 404 from a wrong address, and the check of the step that an error names became a check that there is one. The 404 has a test of its own: the protocol answers it for an absent object only, so that object reads say not found, a delete has nothing to do, and rows are never taken for absent. The former row asked for an unknown outcome of writes, by codes of a protocol that is gone. Test: mesh/standin/platformserver passes; no product code changes.

--- a/mesh/standin/platformserver/server_test.go
+++ b/mesh/standin/platformserver/server_test.go
@@ -46,17 +46,18 @@
 
 var operations = []struct {
 	name  string
+	step  string // that errors name
 	write bool
 	run   func(context.Context, store.Store) error
 }{
-	{"get", false, func(ctx context.Context, s store.Store) error { _, err := s.Get(ctx, "a"); return err }},
-	{"scan", false, func(ctx context.Context, s store.Store) error { _, err := s.Scan(ctx, "a", "", 1); return err }},
-	{"get object", false, func(ctx context.Context, s store.Store) error { _, err := s.GetObject(ctx, "a"); return err }},
-	{"txn", true, func(ctx context.Context, s store.Store) error {
+	{"get", "get row", false, func(ctx context.Context, s store.Store) error { _, err := s.Get(ctx, "a"); return err }},
+	{"scan", "scan rows", false, func(ctx context.Context, s store.Store) error { _, err := s.Scan(ctx, "a", "", 1); return err }},
+	{"get object", "get object", false, func(ctx context.Context, s store.Store) error { _, err := s.GetObject(ctx, "a"); return err }},
+	{"txn", "commit", true, func(ctx context.Context, s store.Store) error {
 		return s.Txn(ctx, nil, []store.Write{{Key: "a", Value: []byte("1")}})
 	}},
-	{"put object", true, func(ctx context.Context, s store.Store) error { return s.PutObject(ctx, "a", []byte("1")) }},
-	{"delete object", true, func(ctx context.Context, s store.Store) error { return s.DeleteObject(ctx, "a") }},
+	{"put object", "put object", true, func(ctx context.Context, s store.Store) error { return s.PutObject(ctx, "a", []byte("1")) }},
+	{"delete object", "delete object", true, func(ctx context.Context, s store.Store) error { return s.DeleteObject(ctx, "a") }},
 }
 
 func TestFaultsAsTheClientSeesThem(t *testing.T) {
@@ -97,7 +98,7 @@
 					want = c.write
 				}
 				is.True(errors.Is(err, want)) // the sentinel of the fault
-				is.True(steperr.Step(err) != "")
+				is.Equal(steperr.Step(err), op.step)
 				is.True(steperr.Peer(err) != "")
 			})
 		}
@@ -240,3 +241,20 @@
 	is.NoErr(err)
 	is.Equal(bounded, rows[10:15])
 }
+
+// The protocol answers 404 for an object that is absent and never for a row, so
+// a 404 from a wrong address is not read as an absent row.
+func TestNotFoundOfAWrongAddress(t *testing.T) {
+	client := clientOf(t, serve(t, http.NotFoundHandler()), generousTimeout)
+	want := map[string]error{
+		"get": store.ErrUnavailable, "scan": store.ErrUnavailable, "txn": store.ErrUnavailable,
+		"get object": store.ErrNotFound, "put object": store.ErrUnavailable, "delete object": nil,
+	}
+	for _, op := range operations {
+		t.Run(op.name, func(t *testing.T) {
+			err := op.run(t.Context(), client)
+			is.New(t).True(errors.Is(err, want[op.name]))
+			is.New(t).True(!errors.Is(err, store.ErrNotFound) || op.name == "get object")
+		})
+	}
+}
