Close the exit's idle connections to targets when the daemon stops

Cause: nothing closed the connections that the exit keeps to its targets.

Ruled out: load and a slow machine. With the collector off (GOGC=off) the package failed at once with 7 goroutines left over, all in reads of targets' connections; mesh/entry, mesh/peer and mesh/claim pass with it off.

Change: Exit.Close closes the pools; the daemon calls it after the peer sessions are drained. TestCloseEndsIdleConnections failed before.

After: GOGC=off go test ./mesh/exit passes. Conclusion: traced and mended.

--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -181,6 +181,7 @@
 	finish("drain the entry", l.EntryServer.Shutdown)
 	group.Wait()
 	errs = append(errs, steperr.Wrap(l.PeerServer.Shutdown(drain), "drain the peer sessions", l.Settings.Host))
+	l.Exit.Close()
 	l.Claims.Close(drain)
 	l.cancel()
 	l.Configuration.Stop()
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -118,6 +118,16 @@
 	}
 }
 
+// Close closes the idle connections to the targets, and those in use once their
+// calls have ended. It is called after Drain.
+func (e *Exit) Close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, t := range e.targets {
+		t.conns.close()
+	}
+}
+
 func (e *Exit) beginDrain() {
 	e.mu.Lock()
 	if e.leaving {
--- a/mesh/exit/exit_test.go
+++ b/mesh/exit/exit_test.go
@@ -54,6 +54,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		defer cancel()
 		server.Shutdown(ctx)
+		e.Close()
 	})
 	return &bench{t: t, exit: e, pool: pool, address: l.Addr().String()}
 }
--- a/mesh/exit/targetconn_test.go
+++ b/mesh/exit/targetconn_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -61,6 +62,32 @@
 	}
 }
 
+// TestCloseEndsIdleConnections waits for the target to see the end of a
+// connection that was kept for later calls.
+func TestCloseEndsIdleConnections(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	ended := make(chan error, 1)
+	b.rawTarget(func(conn net.Conn, requests *bufio.Reader) {
+		var err error
+		for err == nil {
+			if _, err = readRequest(requests); err == nil {
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}
+		ended <- err
+	})
+	b.call(callHead(http.MethodGet, "/", ""))
+	b.waitForLoad(exit.Load{Slots: 4})
+	b.exit.Close()
+	select {
+	case err := <-ended:
+		is.Equal(err, io.EOF)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the idle connection stayed open")
+	}
+}
+
 // TestBoundedAnswerHead sends answers whose head does not end.
 func TestBoundedAnswerHead(t *testing.T) {
 	cases := []struct{ name, part string }{
