Keep a move with the hosts that its reports reach

Cause: outcome reports of a move go to the two hosts that rank first for its service. A host that holds the lease kept it for as long as it could renew, also when two hosts that joined ranked before it: from then on it got no reports, decided nothing, and nobody else could. A new test shows two more ways into the same state: the holder leaves (nobody took over before the lease ended, and reports already passed it over), and the holder is cut off from the platform but not from gossip (no other host contends).

Change: each step names the host that wrote it, and reports go to that host too, so that a move stays where its evidence is. A holder that is no longer among the hosts that get reports gives the lease up at once, as does one that leaves. The other hosts that get reports contend after a head start of two ticks. A zone's own stop of a version is logged.

Each host in line now reads the lease once a second while a move runs; the price of those calls is not measured by itself.

--- a/coord/revision/resource.go
+++ b/coord/revision/resource.go
@@ -176,6 +176,8 @@
 	// Settle is the time between the last call to From and the verdict, at which
 	// the targets of From may end.
 	Settle Duration `json:"settle,omitempty"`
+	// Controller is the host that decided the last step.
+	Controller string `json:"controller,omitempty"`
 }
 
 // Split divides the traffic of a service over its versions.
--- a/coord/rollout/state.go
+++ b/coord/rollout/state.go
@@ -64,6 +64,8 @@
 	Bake revision.Duration `json:"bake,omitempty"`
 	// Epoch is the fencing token of the controller that wrote the state.
 	Epoch uint64 `json:"epoch"`
+	// Controller is the host that wrote the state.
+	Controller string `json:"controller,omitempty"`
 
 	Verdict ticket.Verdict `json:"verdict"`
 	Reason  string         `json:"reason,omitempty"`
@@ -98,6 +100,7 @@
 		split.Move = &revision.Move{
 			Ticket: s.Ticket, From: s.From, To: s.To, Target: s.Target,
 			By: s.By, Step: s.Step, Hosts: s.Hosts, Settle: s.Settle,
+			Controller: s.Controller,
 		}
 	}
 	return split
--- a/mesh/controller/advance.go
+++ b/mesh/controller/advance.go
@@ -21,6 +21,7 @@
 		return nil
 	}
 	next.Epoch, _ = r.lease.Held()
+	next.Controller = r.controller.config.Host
 	if err := r.write(ctx, next, actions[0]); err != nil {
 		return steperr.Wrap(err, fmt.Sprintf("write step %s of the move of %s", next.Step, next.Service), peerPlatform)
 	}
--- a/mesh/controller/controller.go
+++ b/mesh/controller/controller.go
@@ -27,6 +27,9 @@
 	interval     = time.Second
 	leaseTerm    = 3 * time.Second
 	reportExpiry = 3 * time.Second
+	// standbyDelay is the head start of the host that is first in line for a
+	// move: the time in which it learns of the move and ticks.
+	standbyDelay = 2 * interval
 	backoffMin   = 500 * time.Millisecond
 	backoffMax   = 8 * time.Second
 )
@@ -157,6 +160,7 @@
 		}
 		kept[m.Service] = r
 		all = append(all, r)
+		r.inForce.Store(&m)
 		r.evidence.weigh(now, m.Move)
 	}
 	c.runners = kept
--- a/mesh/controller/evidence.go
+++ b/mesh/controller/evidence.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"sassafrasnotch.example/coord/detect"
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
@@ -64,6 +66,9 @@
 	}
 	e.detector.EndWindow()
 	if reason, tripped := e.zone.EndWindow(); tripped {
+		e.controller.config.Logger.Warn("zone stops sending to a version",
+			zap.String("service", e.move.Service), zap.String("version", e.move.To),
+			zap.Uint64("ticket", e.move.Ticket), zap.String("reason", reason))
 		e.controller.inbox.trip(&peerpb.Trip{
 			Service: e.move.Service, Version: e.move.To, Ticket: e.move.Ticket,
 			Zone: e.controller.config.Zone, Reason: reason,
--- a/mesh/controller/runner.go
+++ b/mesh/controller/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,8 @@
 type runner struct {
 	controller *Controller
 	move       Move
+	inForce    atomic.Pointer[Move] // as the configuration in force shows it
+	since      time.Time            // when this host learned of the move
 	evidence   *evidence
 	busy       atomic.Bool
 	holding    atomic.Bool
@@ -42,6 +45,7 @@
 	return &runner{
 		controller: c,
 		move:       m,
+		since:      c.config.Now(),
 		evidence:   c.newEvidence(m),
 		lease:      lease.New(rollout.Key(m.Service), holder, leaseTerm),
 	}
@@ -49,10 +53,17 @@
 
 // tick advances the move if this host controls it or is to do so.
 func (r *runner) tick(ctx context.Context, now time.Time) {
-	if r.ended || now.Before(r.notBefore) || !r.candidate() {
+	if r.ended || now.Before(r.notBefore) {
 		return
 	}
-	if err := r.control(ctx, now); err != nil {
+	step := r.control
+	if !r.candidate(now) {
+		if !r.holding.Load() {
+			return
+		}
+		step = r.yield
+	}
+	if err := step(ctx, now); err != nil {
 		r.backOff(now)
 		r.controller.config.Logger.Warn("move is not advanced",
 			zap.String("service", r.move.Service), zap.Error(err))
@@ -61,9 +72,28 @@
 	r.delay = 0
 }
 
-// candidate reports whether this host is to contend for the lease, or holds it.
-func (r *runner) candidate() bool {
-	return r.holding.Load() || r.controller.Hosts(r.move.Service)[0] == r.controller.config.Host
+// hosts returns the hosts that may control the move as it is in force.
+func (r *runner) hosts() []string { return r.controller.Hosts(*r.inForce.Load()) }
+
+// candidate reports whether this host receives the move's reports and so may hold
+// its lease. The first of those hosts contends at once, the others later, so that
+// they take over from one that gossip reaches and the platform does not.
+func (r *runner) candidate(now time.Time) bool {
+	place := slices.Index(r.hosts(), r.controller.config.Host)
+	return place == 0 || place > 0 && (r.holding.Load() || now.Sub(r.since) >= standbyDelay)
+}
+
+// yield gives up the lease because the reports go to other hosts now: this one
+// leaves, or hosts that rank before it joined ahead of the first step.
+func (r *runner) yield(ctx context.Context, _ time.Time) error {
+	r.holding.Store(false)
+	r.loaded = false
+	if err := r.releaseLease(ctx); err != nil {
+		return err
+	}
+	r.controller.config.Logger.Info("move given to another host", zap.String("service", r.move.Service),
+		zap.Uint64("ticket", r.move.Ticket), zap.Strings("hosts", r.hosts()))
+	return nil
 }
 
 func (r *runner) control(ctx context.Context, now time.Time) error {
@@ -142,12 +172,18 @@
 
 // release gives the lease of a move up that has ended.
 func (r *runner) release(ctx context.Context) error {
-	table := r.controller.config.Table
-	err := table.Txn(ctx, []store.Compare{r.lease.Compare()}, r.lease.Release())
+	if err := r.releaseLease(ctx); err != nil {
+		return err
+	}
+	r.end()
+	return nil
+}
+
+func (r *runner) releaseLease(ctx context.Context) error {
+	err := r.controller.config.Table.Txn(ctx, []store.Compare{r.lease.Compare()}, r.lease.Release())
 	if err != nil && !errors.Is(err, store.ErrConflict) {
 		return steperr.Wrap(err, fmt.Sprintf("release the lease of the move of %s", r.move.Service), peerPlatform)
 	}
-	r.end()
 	return nil
 }
 
--- a/mesh/outcomes/outcomes.go
+++ b/mesh/outcomes/outcomes.go
@@ -33,10 +33,10 @@
 // Moves lists the running moves of the configuration in force.
 type Moves interface{ RunningMoves() []controller.Move }
 
-// Controllers names the hosts that decide on a service's move, and the trips
+// Controllers names the hosts that decide on a move, and the trips
 // that are known here.
 type Controllers interface {
-	Hosts(service string) []string
+	Hosts(move controller.Move) []string
 	Trips() []*peerpb.Trip
 }
 
@@ -83,8 +83,9 @@
 // report sends what was counted since the last report. Counts of services that
 // do not move are dropped.
 func (r *Reporter) report(ctx context.Context) {
-	byService := make(map[string][]*peerpb.OutcomeCount)
-	for _, move := range r.config.Moves.RunningMoves() {
+	moves := r.config.Moves.RunningMoves()
+	byService := make(map[string][]*peerpb.OutcomeCount, len(moves))
+	for _, move := range moves {
 		byService[move.Service] = nil
 	}
 	for _, source := range r.config.Sources {
@@ -95,9 +96,10 @@
 		}
 	}
 	trips := r.config.Controllers.Trips()
-	for service, counts := range byService {
-		if len(counts) > 0 || hasTrip(trips, service) {
-			r.reportService(ctx, service, counts, trips)
+	for _, move := range moves {
+		counts := byService[move.Service]
+		if len(counts) > 0 || hasTrip(trips, move.Service) {
+			r.reportMove(ctx, move, counts, trips)
 		}
 	}
 }
@@ -106,7 +108,7 @@
 	return slices.ContainsFunc(trips, func(trip *peerpb.Trip) bool { return trip.Service == service })
 }
 
-func (r *Reporter) reportService(ctx context.Context, service string, counts []*peerpb.OutcomeCount, trips []*peerpb.Trip) {
+func (r *Reporter) reportMove(ctx context.Context, move controller.Move, counts []*peerpb.OutcomeCount, trips []*peerpb.Trip) {
 	r.sequence++
 	report := &peerpb.OutcomeReport{
 		Host:        r.config.Host,
@@ -115,14 +117,14 @@
 		Counts:      counts,
 		Trips:       trips,
 	}
-	for _, member := range r.receivers(service) {
+	for _, member := range r.receivers(move) {
 		go r.send(ctx, member, report)
 	}
 }
 
 // receivers returns the zone's collectors and the hosts that control the move
 // or would take it over.
-func (r *Reporter) receivers(service string) []gossip.Member {
+func (r *Reporter) receivers(move controller.Move) []gossip.Member {
 	byHost := make(map[string]gossip.Member)
 	var zone []string
 	for _, member := range r.config.Members.View() {
@@ -131,7 +133,7 @@
 			zone = append(zone, member.Host)
 		}
 	}
-	hosts := append(r.config.Controllers.Hosts(service), rendezvous.Top("collector/"+service, zone, zoneCollectors)...)
+	hosts := append(r.config.Controllers.Hosts(move), rendezvous.Top("collector/"+move.Service, zone, zoneCollectors)...)
 	slices.Sort(hosts)
 	var receivers []gossip.Member
 	for _, host := range slices.Compact(hosts) {
