Count a daemon's own calls once in the load of an endpoint

Cause: the load by which hosts are compared was the daemon's own outstanding calls plus what the host reported, and the report holds the same calls. With few hosts for a service in a zone, a host seemed full at about two thirds of its slots, so that calls crossed zones while the own zone had room.

Change: a report is taken in without the daemon's own calls of that moment, and Load adds those of the present. The check of TestReportedLoadCountsUntilItIsOld asked for the double count (4.0); it now asks for the sum and for two cases more.

--- a/coord/balance/balance_test.go
+++ b/coord/balance/balance_test.go
@@ -226,8 +226,13 @@
 	endpoint.Begin()
 	is.Equal(endpoint.Load(now), 0.25)
 	endpoint.Observe(Report{Outstanding: 3, Queued: 4, Slots: 2}, now)
+	is.Equal(endpoint.Load(now), 3.5) // the own call is one of the 3
+	endpoint.Begin()
 	is.Equal(endpoint.Load(now), 4.0)
+	endpoint.End()
 	is.Equal(endpoint.Load(now+reportLife), 0.25)
+	endpoint.Observe(Report{Slots: 2}, now) // sent before the own call arrived
+	is.Equal(endpoint.Load(now), 0.5)
 }
 
 func TestEjectionAndProbation(t *testing.T) {
--- a/coord/balance/state.go
+++ b/coord/balance/state.go
@@ -24,7 +24,7 @@
 // concurrent use and outlives the tables that refer to it.
 type State struct {
 	outstanding atomic.Int32
-	busy        atomic.Int32 // reported outstanding and queued
+	others      atomic.Int32 // reported outstanding and queued, without own calls
 	slots       atomic.Int32 // reported slots, 0 if none were reported
 	reportedAt  atomic.Int64 // nanoseconds of now
 	avoidUntil  atomic.Int64 // nanoseconds of now
@@ -55,9 +55,11 @@
 // Outstanding returns the number of this daemon's calls to the endpoint.
 func (e *Endpoint) Outstanding() int { return int(e.outstanding.Load()) }
 
-// Observe takes in the load that the host reported.
+// Observe takes in the load that the host reported. The calls of this daemon are
+// among it, the one that brought the report included; they are taken out, as Load
+// counts those of the present.
 func (e *Endpoint) Observe(report Report, now time.Duration) {
-	e.busy.Store(int32(report.Outstanding + report.Queued))
+	e.others.Store(max(int32(report.Outstanding+report.Queued)-e.outstanding.Load(), 0))
 	e.slots.Store(int32(report.Slots))
 	e.reportedAt.Store(int64(now))
 }
@@ -73,7 +75,7 @@
 	busy := e.outstanding.Load()
 	slots := int32(e.Slots)
 	if e.reported(now) {
-		busy += e.busy.Load()
+		busy += e.others.Load()
 		slots = e.slots.Load()
 	}
 	return float64(busy) / float64(max(slots, 1))
