End a short move only on hosts that carry the calls

Cause: a move that is over within seconds ends the old version's targets at its verdict, whatever is left of the new version.

Ruled out: the version itself (no excess of failures), the queue order (all classes lost), a late view (the controller's log now shows the hosts that a step saw: five when settling began, three at the verdict).

Change: the chart completes and ends such a move only if the new version has three quarters of the old one's ready hosts; one that has settled and still lacks them when only the time to write a verdict is left goes back to the old version, which still runs. The line of a step shows hosts, calls, excess and suspicion.

Test: TestSettlesOnEnoughHosts, two rows of which failed before.

--- a/coord/rollout/chart.go
+++ b/coord/rollout/chart.go
@@ -135,6 +135,14 @@
 // settles holds when calls to the old version are to end before the verdict.
 func (in *input) settles() bool { return in.state.Settle > 0 }
 
+// carried holds when the new version's hosts can carry the calls of the old ones,
+// some of which may have been lost since they announced themselves.
+func (in *input) carried() bool { return in.evidence.Hosts.carry() }
+
+// expiring holds when there is only time left to write a verdict for a move that
+// has settled.
+func (in *input) expiring() bool { return !in.now.Before(in.state.writeBy()) }
+
 // bakes holds when the whole share is watched before the old version is given
 // up.
 func (in *input) bakes() bool { return !in.settles() }
@@ -176,6 +184,10 @@
 	case !e.Reporting:
 		return "not proved good by its deadline: no outcome reports"
 	}
+	if in.settles() && !in.carried() {
+		return fmt.Sprintf("not completed by its deadline: %d ready hosts of %s can't carry the calls of %d",
+			e.Hosts.To, in.state.To, e.Hosts.From)
+	}
 	if e.Verdict.Suspicion >= suspicious {
 		return fmt.Sprintf("not proved good by its deadline: at step %s and a share of %.2f%%, some route or zone is close to a verdict of worse",
 			in.state.Step, float64(in.state.Share)/100)
--- a/coord/rollout/hosts.go
+++ b/coord/rollout/hosts.go
@@ -53,6 +53,14 @@
 	return h.loading(hosts)
 }
 
+// carryLeast is the part of the old version's ready hosts that the new version
+// needs before the old ones end: services run at about 0.6 of their slots
+// (docs/CAPACITY.md), and three quarters of the hosts still carry that.
+const carryLeast = 0.75
+
+// carry reports whether the new version's hosts can take over all calls.
+func (h Hosts) carry() bool { return float64(h.To) >= carryLeast*float64(h.From) }
+
 // Reach returns the most hosts of the new version that a move's split lets
 // receive calls: none before the first share, and math.MaxInt for all.
 func Reach(move revision.Move) int {
--- a/coord/rollout/policy.go
+++ b/coord/rollout/policy.go
@@ -79,8 +79,11 @@
 
 // verdictBy is the last moment to decide: what follows it is the time to settle
 // and to write the verdict.
-func (s *State) verdictBy() time.Time {
-	return s.By.Add(-part(s.window(), reservePart, reserveMin, reserveMax) - s.Settle.Std())
+func (s *State) verdictBy() time.Time { return s.writeBy().Add(-s.Settle.Std()) }
+
+// writeBy is the last moment to begin to write a verdict.
+func (s *State) writeBy() time.Time {
+	return s.By.Add(-part(s.window(), reservePart, reserveMin, reserveMax))
 }
 
 func (s *State) dwell() time.Duration {
--- a/coord/rollout/rollout.go
+++ b/coord/rollout/rollout.go
@@ -103,6 +103,8 @@
 			"bakes":     (*input).bakes,
 			"grows":     (*input).grows,
 			"settles":   (*input).settles,
+			"carried":   (*input).carried,
+			"expiring":  (*input).expiring,
 			"settled":   (*input).settled,
 		},
 		Actions: map[string]func(*input){
--- a/coord/rollout/rollout_test.go
+++ b/coord/rollout/rollout_test.go
@@ -139,6 +139,42 @@
 	}
 }
 
+// TestSettlesOnEnoughHosts ends the old version's hosts only when those of the new
+// one can carry its calls.
+func TestSettlesOnEnoughHosts(t *testing.T) {
+	good := detect.Verdict{Kind: detect.Good, Excess: 0.01, StepExcess: 0.01, Requests: 500, StepRequests: 100}
+	cases := []struct {
+		name   string
+		hosts  Hosts
+		lost   int // hosts of the new version, once it gets all calls
+		want   ticket.Verdict
+		reason string
+	}{
+		{"as many", Hosts{From: 5, To: 5}, 0, ticket.Done, "excess of failures and slow answers below 1.0% over 500 calls"},
+		{"one less", Hosts{From: 5, To: 4}, 0, ticket.Done, "excess of failures and slow answers below 1.0% over 500 calls"},
+		{"two lost", Hosts{From: 5, To: 3}, 0, ticket.TakenBack, "not completed by its deadline: 3 ready hosts of v2 can't carry the calls of 5"},
+		{"two lost at the end", Hosts{From: 5, To: 5}, 2, ticket.TakenBack, "not completed by its deadline: 3 ready hosts of v2 can't carry the calls of 5"},
+		{"old ones lost too", Hosts{From: 3, To: 3}, 0, ticket.Done, "excess of failures and slow answers below 1.0% over 500 calls"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			move := testMove(shortWindow)
+			move.Settle = revision.Duration(shortSettle)
+			s := Start("orders", move, revision.PreferBounded, testStart)
+			for now := testStart; now.Before(s.By); now = now.Add(time.Second) {
+				hosts := c.hosts
+				if s.Step == "settle" {
+					hosts.To -= c.lost
+				}
+				s, _ = Next(s, Evidence{Hosts: hosts, Reporting: true, Rate: 200, Verdict: good}, now)
+			}
+			is.Equal(s.Verdict, c.want)
+			is.Equal(s.Reason, c.reason)
+		})
+	}
+}
+
 func TestDecodeRejects(t *testing.T) {
 	for name, data := range map[string]string{
 		"not JSON":     `{`,
--- a/mesh/controller/advance.go
+++ b/mesh/controller/advance.go
@@ -16,13 +16,14 @@
 
 // advance decides the next step and writes it.
 func (r *runner) advance(ctx context.Context, now time.Time) error {
-	next, actions := rollout.Next(r.state, r.evidence.at(now), now)
+	evidence := r.evidence.at(now)
+	next, actions := rollout.Next(r.state, evidence, now)
 	if len(actions) == 0 {
 		return nil
 	}
 	next.Epoch, _ = r.lease.Held()
 	next.Controller = r.controller.config.Host
-	if err := r.write(ctx, next, actions[0]); err != nil {
+	if err := r.write(ctx, next, actions[0], evidence); err != nil {
 		return steperr.Wrap(err, fmt.Sprintf("write step %s of the move of %s", next.Step, next.Service), peerPlatform)
 	}
 	return nil
@@ -31,7 +32,7 @@
 // write commits a step: the split as the next revision, the move's row and the
 // ticket's status in one transaction. A conflict means that another controller
 // or operator was first; the next tick reads what they wrote.
-func (r *runner) write(ctx context.Context, next rollout.State, action rollout.Action) error {
+func (r *runner) write(ctx context.Context, next rollout.State, action rollout.Action, evidence rollout.Evidence) error {
 	compares := []store.Compare{
 		{Key: rollout.Key(next.Service), Version: r.version},
 		r.lease.Compare(),
@@ -58,7 +59,10 @@
 	config.Logger.Info("move advanced",
 		zap.String("service", next.Service), zap.Uint64("ticket", next.Ticket),
 		zap.String("step", next.Step), zap.Int("share", next.Share),
-		zap.String("reason", next.Reason), zap.Uint64("revision", number))
+		zap.String("reason", next.Reason), zap.Uint64("revision", number),
+		zap.Int("old_hosts", evidence.Hosts.From), zap.Int("new_hosts", evidence.Hosts.To),
+		zap.Uint64("calls", evidence.Verdict.Requests), zap.Float64("excess", evidence.Verdict.Excess),
+		zap.Float64("suspicion", evidence.Verdict.Suspicion))
 	return nil
 }
 
