Refuse at once what would wait past the time of full use

A target that is slow for a time filled its queue with requests that a faster one could have answered in time.

Ruled out: the time told in Retry-After.

Change: a request carries the time up to which its answer is of full use; beyond a reserve of a quarter of the slots, which keeps them busy, it is refused when it would be answered later, so that the entry tries another host at once.

--- a/coord/admission/load_test.go
+++ b/coord/admission/load_test.go
@@ -18,17 +18,23 @@
 	work     time.Duration
 	deadline time.Duration
 	priority int
+	// aim is the time within which an answer is of full use; 0 means the deadline.
+	aim time.Duration
 }
 
 // overload is a target of 12 slots at 1.3 times its capacity: two routes of long
 // requests, and short calls of another service, which wait for them and whose
 // own callers fail without an answer.
 var overload = []kind{
-	{"stock", 55, 150 * time.Millisecond, 800 * time.Millisecond, 1},
-	{"sheet", 30, 240 * time.Millisecond, 1200 * time.Millisecond, 1},
-	{"call", 60, 15 * time.Millisecond, 200 * time.Millisecond, 2},
+	{"stock", 55, 150 * time.Millisecond, 800 * time.Millisecond, 1, 0},
+	{"sheet", 30, 240 * time.Millisecond, 1200 * time.Millisecond, 1, 0},
+	{"call", 60, 15 * time.Millisecond, 200 * time.Millisecond, 2, 0},
 }
 
+// slowed is an overload of a target that takes twice as long as usual, at 1.4 times
+// its capacity, by one route with an aim far below its deadline.
+var slowed = []kind{{"browse", 140, 120 * time.Millisecond, 800 * time.Millisecond, 0, 200 * time.Millisecond}}
+
 // ending is a request that ends.
 type ending struct {
 	at   time.Time
@@ -49,15 +55,18 @@
 	return last
 }
 
-// play runs the load for a time and returns the part of each kind that was
-// answered within its deadline. Flat hides kinds and priorities, as before they
-// were told apart.
-func play(flat bool, seconds int) map[string]float64 {
+// played is what became of a load: the parts of each kind that were answered within
+// their deadlines, and within their aims.
+type played struct{ served, inAim map[string]float64 }
+
+// play runs the load for a time. Flat hides kinds, priorities and aims, as before
+// they were told apart.
+func play(load []kind, flat bool, seconds int) played {
 	r := rand.New(rand.NewPCG(1, 2))
 	target := admission.NewTarget(admission.Config{Slots: 12, QueueLength: 16}, start)
-	asked, served := map[string]int{}, map[string]int{}
+	asked, served, inAim := map[string]int{}, map[string]int{}, map[string]int{}
 	waiting := map[uint64]*kind{}
-	deadlines := map[uint64]time.Time{}
+	arrived := map[uint64]time.Time{}
 	var running endings
 	begin := func(id uint64, k *kind, now time.Time) {
 		took := time.Duration(r.ExpFloat64()*0.5*float64(k.work)) + k.work/2
@@ -72,8 +81,8 @@
 			}
 		}
 	}
-	next := make([]time.Time, len(overload))
-	for i, k := range overload {
+	next := make([]time.Time, len(load))
+	for i, k := range load {
 		next[i] = start.Add(time.Duration(r.ExpFloat64() / k.rate * float64(time.Second)))
 	}
 	id := uint64(0)
@@ -87,9 +96,13 @@
 		now := next[first]
 		if len(running) > 0 && running[0].at.Before(now) {
 			e := heap.Pop(&running).(ending)
-			if !e.at.After(deadlines[e.id]) {
+			waited := e.at.Sub(arrived[e.id])
+			if waited <= e.kind.deadline {
 				served[e.kind.name]++
 			}
+			if waited <= e.kind.aim {
+				inAim[e.kind.name]++
+			}
 			name := e.kind.name
 			if flat {
 				name = ""
@@ -100,15 +113,18 @@
 		if now.After(end) {
 			break
 		}
-		k := &overload[first]
+		k := &load[first]
 		next[first] = now.Add(time.Duration(r.ExpFloat64() / k.rate * float64(time.Second)))
 		id++
 		asked[k.name]++
 		request := admission.Request{ID: id, Deadline: now.Add(k.deadline), Priority: k.priority, Kind: k.name}
+		if k.aim > 0 {
+			request.Useful = now.Add(k.aim)
+		}
 		if flat {
-			request.Priority, request.Kind = 0, ""
+			request.Priority, request.Kind, request.Useful = 0, "", time.Time{}
 		}
-		deadlines[id] = request.Deadline
+		arrived[id] = now
 		action, shed := target.Arrive(request, now)
 		if action.Verdict == admission.Wait {
 			waiting[id] = k
@@ -118,9 +134,10 @@
 			begin(id, k, now)
 		}
 	}
-	parts := map[string]float64{}
+	parts := played{map[string]float64{}, map[string]float64{}}
 	for name, count := range asked {
-		parts[name] = float64(served[name]) / float64(count)
+		parts.served[name] = float64(served[name]) / float64(count)
+		parts.inAim[name] = float64(inAim[name]) / float64(count)
 	}
 	return parts
 }
@@ -129,10 +146,20 @@
 // no more than what the calls take.
 func TestShortCallsGetThroughAnOverload(t *testing.T) {
 	is := is.New(t)
-	before, after := play(true, 60), play(false, 60)
+	before, after := play(overload, true, 60).served, play(overload, false, 60).served
 	t.Logf("served before %v, after %v", before, after)
 	is.True(after["call"] > 0.97)
 	is.True(after["call"] > before["call"]+0.2)
 	is.True(after["stock"] > before["stock"]-0.1)
 	is.True(after["sheet"] > before["sheet"]-0.1)
 }
+
+// A slow target refuses what another one can still answer in time, before it has
+// waited, and stays as busy.
+func TestSlowTargetKeepsItsAnswersUseful(t *testing.T) {
+	is := is.New(t)
+	before, after := play(slowed, true, 60), play(slowed, false, 60)
+	t.Logf("before %v, after %v", before, after)
+	is.True(after.inAim["browse"] > before.inAim["browse"]+0.2)
+	is.True(after.served["browse"] > before.served["browse"]-0.02)
+}
--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -29,6 +29,9 @@
 type Request struct {
 	ID       uint64
 	Deadline time.Time
+	// Useful is the time up to which an answer is of full use; zero means up to
+	// the deadline.
+	Useful time.Time
 	// Priority orders the requests that wait; higher runs first and is kept
 	// longer.
 	Priority int
@@ -136,7 +139,7 @@
 		return Action{ID: r.ID, Verdict: Run}, nil
 	}
 	place := t.place(r)
-	if t.late(r, place, now) {
+	if t.late(r, place, now) || place >= t.reserve(now) && t.useless(r, place, now) {
 		return refuse(r, Overloaded), nil
 	}
 	return t.enqueue(r, place, now)
@@ -186,8 +189,26 @@
 // late reports whether a request with ahead others before it would miss its
 // deadline, judging by recent service times.
 func (t *Target) late(r Request, ahead int, now time.Time) bool {
-	expected := t.wait(ahead, now) + t.serviceTime(r.Kind)
-	return now.Add(expected).After(r.Deadline)
+	return t.answered(r, ahead, now).After(r.Deadline)
+}
+
+// useless reports whether a request with ahead others before it would be answered
+// after the time for which its answer is of full use.
+func (t *Target) useless(r Request, ahead int, now time.Time) bool {
+	return !r.Useful.IsZero() && t.answered(r, ahead, now).After(r.Useful)
+}
+
+// answered estimates when a request with ahead others before it is answered.
+func (t *Target) answered(r Request, ahead int, now time.Time) time.Time {
+	return now.Add(t.wait(ahead, now) + t.serviceTime(r.Kind))
+}
+
+// reservePart is the part of the slots for which requests may wait that are late
+// for full use: they keep the slots busy from one end to the next arrival.
+const reservePart = 0.25
+
+func (t *Target) reserve(now time.Time) int {
+	return max(int(reservePart*float64(t.open(now))), 1)
 }
 
 // wait estimates the time until a request with ahead others before it runs: one
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -49,6 +49,9 @@
 	e.lastCall++
 	c.id = e.lastCall
 	request := admission.Request{ID: c.id, Deadline: c.deadline, Priority: int(c.head.Priority), Kind: c.head.Route}
+	if bound := e.latencyBound(c.head.Service, c.head.Route); bound > 0 {
+		request.Useful = now.Add(bound)
+	}
 	action, shed := t.admission.Arrive(request, now)
 	t.decide(shed)
 	switch action.Verdict {
