Keep the retry budget and the outcome reports whole across cuts and clocks

Retries: the fleet's reserve was divided over the members that a daemon takes for live. While zones are cut from each other each side divides it by its own number, so that the sum grows to the reserve times the number of sides.

Reports: the counts of a host were dropped for the rest of a move when its daemon started again after its clock had been set back, since reports of a lower incarnation were taken for old ones. Each run of a daemon now has its own sequence. Membership was looked at too: a restarted daemon that meets its earlier record with a higher incarnation outbids it.

--- a/mesh/controller/inbox.go
+++ b/mesh/controller/inbox.go
@@ -23,13 +23,20 @@
 	samples  []detect.Sample
 	reported bool
 	trips    map[string]*peerpb.Trip // by zone
-	received map[string]*received    // by reporting host
+	received map[reporter]*received
 }
 
-// received tells which reports of a host have arrived: the highest sequence and
+// reporter is one run of a host's daemon. Incarnations are only told apart: a clock
+// that was set back between two runs puts them out of order.
+type reporter struct {
+	host        string
+	incarnation uint64
+}
+
+// received tells which reports of a reporter have arrived: the highest sequence and
 // a mask of those just below it, bit 0 for the highest itself.
 type received struct {
-	incarnation, highest, mask uint64
+	highest, mask uint64
 }
 
 // maskLength is the number of sequences that received tells apart, in bits.
@@ -43,7 +50,7 @@
 	return &pending{
 		move:     m,
 		trips:    make(map[string]*peerpb.Trip),
-		received: make(map[string]*received),
+		received: make(map[reporter]*received),
 	}
 }
 
@@ -89,12 +96,13 @@
 
 // first reports whether the report arrives for the first time.
 func (p *pending) first(report *peerpb.OutcomeReport) bool {
-	r := p.received[report.GetHost()]
-	if r == nil || report.GetIncarnation() > r.incarnation {
-		r = &received{incarnation: report.GetIncarnation()}
-		p.received[report.GetHost()] = r
+	from := reporter{report.GetHost(), report.GetIncarnation()}
+	r := p.received[from]
+	if r == nil {
+		r = &received{}
+		p.received[from] = r
 	}
-	return report.GetIncarnation() == r.incarnation && r.mark(report.GetSequence())
+	return r.mark(report.GetSequence())
 }
 
 // mark notes a sequence and reports whether it is new. One too old to tell is
--- a/mesh/entry/routing.go
+++ b/mesh/entry/routing.go
@@ -23,7 +23,7 @@
 	plans  atomic.Pointer[map[string]*servicePlan]
 	// building serialises changes to the above.
 	building sync.Mutex
-	daemons  int // live members, guarded by building
+	daemons  int // known members, guarded by building
 }
 
 // trip is the version of a service that is no longer chosen for a move.
@@ -59,12 +59,9 @@
 	r.building.Lock()
 	defer r.building.Unlock()
 	r.index.Store(balance.NewIndex(r.self, members, r.index.Load()))
-	r.daemons = 0
-	for _, member := range members {
-		if member.Status != gossip.Dead {
-			r.daemons++
-		}
-	}
+	// Members that seem dead count too: they may serve on the other side of a cut,
+	// and the sum over all daemons is bounded.
+	r.daemons = len(members)
 	r.applyLimits()
 }
 
--- a/mesh/entry/routing_test.go
+++ b/mesh/entry/routing_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -8,9 +9,11 @@
 
 	"github.com/matryer/is"
 
+	"sassafrasnotch.example/coord/balance"
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/mesh/peer/peerpb"
+	"sassafrasnotch.example/mesh/settings"
 )
 
 func TestTripStopsTheMovingVersion(t *testing.T) {
@@ -62,3 +65,22 @@
 	is.Equal(string(body), "old")
 	is.Equal(w.hosts.runs(), 2)
 }
+
+// The retries of all daemons together stay within the fleet's reserve, also while a
+// cut keeps them from seeing each other.
+func TestFleetReserveIsDividedOverKnownDaemons(t *testing.T) {
+	is := is.New(t)
+	const fleet, reserve = 12, 60
+	var members []gossip.Member
+	for i := range fleet {
+		members = append(members, hostMember(fmt.Sprint("a", i), "a", "v1"))
+	}
+	r := newRouting(balance.Place{Host: "a0", Zone: "a"}, settings.Retry{Share: 0.1, FleetReserve: reserve})
+	r.setMembers(members)
+	is.Equal(r.limits().Reserve, reserve/fleet)
+	for i := range members[4:] {
+		members[4+i].Status = gossip.Dead
+	}
+	r.setMembers(members)
+	is.True(fleet*r.limits().Reserve <= reserve)
+}
