--- a/coord/rollout/chart.go
+++ b/coord/rollout/chart.go
@@ -34,13 +34,16 @@
 // next returns the level that follows.
 func (in *input) next() Level { return in.state.Levels[in.state.Level] }
 
-// allowed returns the largest share that the evidence supports.
-func (in *input) allowed() int {
+// supported returns the largest share that the evidence supports.
+func (in *input) supported() int {
 	v := in.evidence.Verdict
 	part := min(in.policy.Harm/v.Excess, stepHarm*in.policy.Harm/v.StepExcess, 1)
-	return min(in.next().Share, int(part*revision.FullShare))
+	return int(part * revision.FullShare)
 }
 
+// allowed returns how far the evidence supports growth to the next level.
+func (in *input) allowed() int { return min(in.next().Share, in.supported()) }
+
 // stepHarm is by how much the evidence of one step may be weaker than that of
 // the whole move.
 const stepHarm = 10
@@ -104,6 +107,9 @@
 // allows.
 func (in *input) raise() {
 	s := &in.state
+	if s.Level > 0 {
+		in.catchUp()
+	}
 	level := in.next()
 	share := level.Share
 	if s.Level > 0 {
@@ -118,6 +124,19 @@
 	in.actions = append(in.actions, SetShare{Share: s.Share, Hosts: s.Hosts})
 }
 
+// catchUp passes over levels whose time is over, as after a change of controller,
+// as far as the evidence supports. It never passes over the way to the last one.
+func (in *input) catchUp() {
+	s := &in.state
+	for s.Level < len(s.Levels)-2 {
+		following := s.Levels[s.Level+1]
+		if in.now.Before(following.At) || following.Share > in.supported() {
+			return
+		}
+		s.Level++
+	}
+}
+
 // hold keeps the share and enters the next step.
 func (in *input) hold() {
 	in.actions = append(in.actions, SetShare{Share: in.state.Share, Hosts: in.state.Hosts})
--- a/coord/rollout/rollout_test.go
+++ b/coord/rollout/rollout_test.go
@@ -175,6 +175,53 @@
 	}
 }
 
+// TestCatchesUpAfterAPause gives a move to another controller after a pause: levels
+// whose time is over are passed over as far as the evidence supports.
+func TestCatchesUpAfterAPause(t *testing.T) {
+	evidence := func(excess float64) Evidence {
+		return Evidence{Hosts: Hosts{From: 3, To: 3}, Reporting: true, Rate: 200, Verdict: detect.Verdict{
+			Kind: detect.Good, Excess: excess, StepExcess: excess, Requests: 500, StepRequests: 100,
+		}}
+	}
+	cases := []struct {
+		name   string
+		excess float64
+		want   string // the first level after the pause
+	}{
+		{"good", 0.01, "last but one"},
+		{"evidence for the next level only", 0.9, "next"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			move := testMove(2 * shortWindow)
+			move.Settle = revision.Duration(shortSettle)
+			s := Start("orders", move, revision.PreferBounded, testStart)
+			s, _ = Next(s, evidence(c.excess), testStart)
+			is.True(len(s.Levels) > 3)
+			wanted := map[string]int{"next": s.Levels[1].Share, "last but one": s.Levels[len(s.Levels)-2].Share}
+			s, _ = Next(s, evidence(c.excess), s.Levels[len(s.Levels)-1].At.Add(-time.Second))
+			is.Equal(s.Share, wanted[c.want])
+		})
+	}
+}
+
+// TestSettlesLateAfterALateTick completes a move that has settled a moment after
+// the planned time for its verdict.
+func TestSettlesLateAfterALateTick(t *testing.T) {
+	is := is.New(t)
+	move := testMove(shortWindow)
+	move.Settle = revision.Duration(time.Second)
+	s := Start("orders", move, revision.PreferBounded, testStart)
+	s.Step, s.Share = "settle", revision.FullShare
+	s.StepAt = s.writeBy().Add(-s.Settle.Std() + 5*time.Millisecond)
+	enough := Evidence{Hosts: Hosts{From: 5, To: 5}, Reporting: true, Rate: 200}
+	s, _ = Next(s, enough, s.writeBy())
+	is.Equal(s.Verdict, ticket.Running) // not settled yet
+	s, _ = Next(s, enough, s.writeBy().Add(time.Second))
+	is.Equal(s.Verdict, ticket.Done)
+}
+
 func TestDecodeRejects(t *testing.T) {
 	for name, data := range map[string]string{
 		"not JSON":     `{`,
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -1,6 +1,8 @@
 package integration
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -20,9 +22,11 @@
 
 // Bounds that the platform's settings give.
 const (
-	applyWithin = 2 * time.Second // of a configuration
-	drainWithin = 2 * time.Second // of a worker's acknowledged departure
-	callerLimit = 1500 * time.Millisecond
+	applyWithin  = 2 * time.Second // of a configuration
+	drainWithin  = 2 * time.Second // of a worker's acknowledged departure
+	callerLimit  = 1500 * time.Millisecond
+	routeTimeout = time.Second
+	answerWithin = 500 * time.Millisecond // of a route's time, or of a caller's departure
 )
 
 const platformHost = "mesh.example"
@@ -65,7 +69,7 @@
 func config(version uint64, more ...wire.Route) wire.Config {
 	route := func(name, prefix, kind string) wire.Route {
 		return wire.Route{
-			Name: name, Host: platformHost, PathPrefix: prefix, Kind: kind, TimeoutMs: 1000,
+			Name: name, Host: platformHost, PathPrefix: prefix, Kind: kind, TimeoutMs: routeTimeout.Milliseconds(),
 			TargetLatencyMs: 200, Priority: 1, Service: "desk", MaxAttempts: 3,
 		}
 	}
@@ -103,6 +107,7 @@
 	body   string
 	header http.Header
 	err    error
+	sent   time.Time
 }
 
 // whole reports whether the caller got a success of a worker, complete.
@@ -111,8 +116,13 @@
 }
 
 func (p *onPlatform) call(d *cluster.Daemon, method, path, body string) told {
-	a := told{id: fmt.Sprintf("%016x", p.ids.Add(1))}
-	request, err := http.NewRequest(method, "http://"+d.Settings.Entry.Listen+path, strings.NewReader(body))
+	return p.callFor(context.Background(), d, method, path, body)
+}
+
+// callFor is call by a caller that leaves when the context ends.
+func (p *onPlatform) callFor(ctx context.Context, d *cluster.Daemon, method, path, body string) told {
+	a := told{id: fmt.Sprintf("%016x", p.ids.Add(1)), sent: time.Now()}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+d.Settings.Entry.Listen+path, strings.NewReader(body))
 	if err != nil {
 		a.err = err
 		return a
@@ -203,6 +213,38 @@
 			is.True(p.call(p.Daemons[0], http.MethodGet, "/safe/after", "").whole()) // no bytes are left behind
 		}
 	})
+	t.Run("the time of the route is over", func(t *testing.T) {
+		for _, c := range []struct{ method, path string }{
+			{http.MethodGet, "/safe/" + workerserver.AnswerLate}, {http.MethodPost, "/unsafe/" + workerserver.AnswerLate},
+		} {
+			is := is.New(t)
+			began := time.Now()
+			a := p.call(p.Daemons[0], c.method, c.path, "")
+			took := time.Since(began)
+			is.NoErr(a.err)
+			is.Equal(a.status, http.StatusGatewayTimeout)
+			is.True(took >= routeTimeout*9/10 && took < routeTimeout+answerWithin)
+			is.True(len(p.runs(a.id)) >= 1)
+		}
+	})
+	t.Run("the caller leaves", func(t *testing.T) {
+		is := is.New(t)
+		ctx, leave := context.WithTimeout(context.Background(), routeTimeout/4)
+		defer leave()
+		a := p.callFor(ctx, p.Daemons[0], http.MethodGet, "/safe/"+workerserver.AnswerLate, "")
+		left := time.Now()
+		is.True(a.err != nil)
+		p.eventually(answerWithin, "the worker stops", func() error {
+			for _, run := range p.runs(a.id) {
+				if run.Stopped.IsZero() {
+					return errors.New("still at work")
+				}
+			}
+			return nil
+		})
+		is.True(time.Since(left) < answerWithin)
+		is.Equal(len(p.runs(a.id)), 1)
+	})
 	t.Run("SIGHUP", func(t *testing.T) {
 		is := is.New(t)
 		p.Daemons[0].Hangup()
@@ -345,58 +387,3 @@
 	}
 	p.checkAnswers(load.end())
 }
-
-func TestRolloutsOnThePlatform(t *testing.T) {
-	for _, c := range []struct {
-		name  string
-		state string
-		kind  string // of the answers of the new version
-	}{
-		{"good", wire.RolloutCompleted, ""},
-		{"bad", wire.RolloutRolledBack, workerserver.AnswerFailed},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			p := startOnPlatform(t)
-			load := p.startTraffic(24)
-			// The new version takes the place of the studio's workers.
-			for _, host := range []string{"host-a2", "host-b2", "host-c2"} {
-				p.workers[host].Stop()
-			}
-			for _, d := range p.Daemons {
-				if d.Settings.Service == "studio" {
-					p.workers[d.Settings.Host] = d.StartWorker("n-"+d.Settings.Host, "v2", func(config *workerserver.Config) {
-						config.Service, config.Fails = "desk", c.kind != ""
-					})
-				}
-			}
-			const within = 12 * time.Second
-			p.Operate(wire.PrefixRollout+"desk", wire.Rollout{Service: "desk", Target: "v2", DurationS: within.Seconds()})
-			p.eventually(within, "the rollout is "+c.state, func() error {
-				status, err := p.RolloutState("desk")
-				if err == nil && (status.State != c.state || status.Target != "v2") {
-					return fmt.Errorf("state %q of %q", status.State, status.Target)
-				}
-				return err
-			})
-			answers := load.end()
-			exposed := 0
-			for _, a := range answers {
-				if strings.HasPrefix(a.header.Get(wire.HeaderSignature), "signed-n-") {
-					exposed++
-				}
-			}
-			t.Logf("%d of %d requests met the new version", exposed, len(answers))
-			if c.kind != "" {
-				is.True(exposed*10 <= len(answers)+500) // a tenth, and 50
-				return
-			}
-			p.checkAnswers(answers)
-			p.workers["host-a1"].Stop() // old workers end at once
-			for range 50 {
-				is.True(p.call(p.Daemons[0], http.MethodGet, "/safe/1", "").whole())
-			}
-		})
-	}
-}
--- a/mesh/standin/workerserver/worker.go
+++ b/mesh/standin/workerserver/worker.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"slices"
 	"strconv"
 	"strings"
@@ -28,6 +29,7 @@
 	AnswerExtra    = "extra"    // a second answer follows
 	AnswerUnframed = "unframed" // the end of the connection ends the answer
 	AnswerFailed   = "failed"   // the worker's own 500
+	AnswerLate     = "late"     // the work takes until it is stopped
 )
 
 // Config configures a worker.
@@ -52,6 +54,9 @@
 	// Deadline is the time that the daemon said is left.
 	Deadline time.Duration
 	Began    time.Time
+	// Stopped is when the run was given up, because the time was over or the
+	// connection closed; it is zero for a run that is not over or came to its end.
+	Stopped time.Time
 }
 
 // Worker is a running worker.
@@ -186,8 +191,8 @@
 	return w.post(ctx, wire.PathHeartbeat, body)
 }
 
-func (w *Worker) post(ctx context.Context, path string, body []byte) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.config.Control+path+w.config.ID, bytes.NewReader(body))
+func (w *Worker) post(ctx context.Context, prefix string, body []byte) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.config.Control+prefix+w.config.ID, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -198,7 +203,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode/100 != 2 {
-		return fmt.Errorf("workerserver: %s: status %d", path, response.StatusCode)
+		return fmt.Errorf("workerserver: %s: status %d", prefix, response.StatusCode)
 	}
 	return nil
 }
@@ -228,21 +233,36 @@
 		return
 	}
 	defer w.leave()
-	w.record(Run{
+	run := w.record(Run{
 		RequestID: id, Method: request.Method, URI: request.URL.RequestURI(), Body: string(body),
 		CallerService: request.Header.Get(wire.HeaderCallerService), Deadline: deadline, Began: time.Now(),
 	})
-	timer := time.NewTimer(w.config.Work)
-	defer timer.Stop()
 	status := http.StatusOK
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if !w.work(ctx, request) {
 		status = http.StatusGatewayTimeout
+		w.stopped(run)
 	}
 	w.answer(writer, request, id, status)
 }
 
+// work takes the time of a request and reports whether it came to its end.
+func (w *Worker) work(ctx context.Context, request *http.Request) bool {
+	var done <-chan time.Time
+	if lastSegment(request) != AnswerLate {
+		timer := time.NewTimer(w.config.Work)
+		defer timer.Stop()
+		done = timer.C
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func lastSegment(request *http.Request) string { return path.Base(request.URL.Path) }
+
 // enter takes a slot, for which it waits if the queue has room.
 func (w *Worker) enter(ctx context.Context) bool {
 	w.mu.Lock()
@@ -272,10 +292,18 @@
 	w.mu.Unlock()
 }
 
-func (w *Worker) record(run Run) {
+// record notes a run and returns its number.
+func (w *Worker) record(run Run) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.runs = append(w.runs, run)
+	return len(w.runs) - 1
+}
+
+func (w *Worker) stopped(run int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs[run].Stopped = time.Now()
 }
 
 func (w *Worker) reject(writer http.ResponseWriter, status int) {
@@ -292,8 +320,7 @@
 	header.Set(wire.HeaderSignature, "signed-"+w.config.ID)
 	header.Set("Keep-Alive", "timeout=10")
 	body := Body(id)
-	parts := strings.Split(request.URL.Path, "/")
-	switch parts[len(parts)-1] {
+	switch kind := lastSegment(request); kind {
 	case AnswerLost:
 		panic(http.ErrAbortHandler)
 	case AnswerCut:
@@ -305,7 +332,7 @@
 	case AnswerUnsigned:
 		header.Del(wire.HeaderSignature)
 	case AnswerExtra, AnswerUnframed:
-		w.writeRaw(writer, status, id, parts[len(parts)-1])
+		w.writeRaw(writer, status, id, kind)
 		return
 	case AnswerFailed:
 		status = http.StatusInternalServerError
