Explain a request from the logs of several daemons

Cause: on-call engineers have only logs, and had to search them by hand; a request that a target answered with its own 500 left no line at all, and the line of a refusal did not say how full the refusing host was.

Change: sassafrasctl explain REQUEST-ID FILE... prints the lines of a request in the order of time, the lines of the hosts concerned around it, and the decision that ended it; lines of other programs are counted and passed over, an unknown id exits with 1. The entry writes "call answered" for each answer of 500 and above or that broke off, and for one in 256 of the others; refusals carry the host's outstanding, queued and open slots. "No slot within the deadline" is now "in time", since the time of full use decides too.

Tests: mesh/explain and TestExplain of mesh/ctl. The processor time of the new lines is not measured yet.

--- a/mesh/ctl/ctl.go
+++ b/mesh/ctl/ctl.go
@@ -61,6 +61,7 @@
 	newStatus,
 	newReport,
 	newCheck,
+	newExplain,
 	newDemo,
 }
 
--- a/mesh/ctl/ticket_file.go
+++ b/mesh/ctl/ticket_file.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -35,10 +36,20 @@
 
 // readSource reads a file or the standard input.
 func readSource(env *Env, name string) ([]byte, error) {
+	source, err := openSource(env, name)
+	if err != nil {
+		return nil, err
+	}
+	data, err := io.ReadAll(source)
+	return data, errors.Join(err, source.Close())
+}
+
+// openSource opens a file, or the standard input.
+func openSource(env *Env, name string) (io.ReadCloser, error) {
 	if name == standardInput {
-		return io.ReadAll(env.Stdin)
+		return io.NopCloser(env.Stdin), nil
 	}
-	return os.ReadFile(name)
+	return os.Open(name)
 }
 
 func parseTicket(name string, data []byte) (*ticketFile, error) {
--- a/mesh/entry/call.go
+++ b/mesh/entry/call.go
@@ -198,6 +198,9 @@
 	failed := e.run()
 	e.judge(failed)
 	e.observe(failed, c.entry.now()-started)
+	if failed == nil {
+		c.logAnswer(e)
+	}
 	if e.cut {
 		c.abort()
 	}
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -171,6 +171,7 @@
 	e.reported = true
 	e.observeLoad(refusal.GetLoad())
 	failed := refused(refusalReason(refusal.GetReason()), stepAwait, refusal.GetDetail()).at(e.endpoint.Host)
+	failed.load = refusal.GetLoad()
 	failed.retryAfter = time.Duration(refusal.GetRetryAfterMillis()) * time.Millisecond
 	return failed
 }
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/retry"
+	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
 // Header fields of the port that callers use.
@@ -61,6 +62,7 @@
 	detail     string
 	retryAfter time.Duration
 	crashed    bool
+	load       *peerpb.Load // of the host that refused; nil if it told none
 }
 
 // passed reports whether the host had no target to run the request, so that the
@@ -144,6 +146,27 @@
 	}
 }
 
+// answeredSample is the number of good answers of which one is logged.
+const answeredSample = 256
+
+// logAnswer writes a line for a call that a target answered: for each one that
+// failed or broke off, and for a sample of the others.
+func (c *call) logAnswer(e *exchange) {
+	good := !e.cut && e.status < http.StatusInternalServerError
+	if good && e.attempt%answeredSample != 0 {
+		return
+	}
+	line := c.entry.deps.Log.Check(zap.InfoLevel, "call answered")
+	if line == nil {
+		return
+	}
+	line.Write(zap.String("request_id", c.requestID), zap.String("service", c.service),
+		zap.String("route", c.route.Name), zap.String("peer", e.endpoint.Host), zap.String("peer_zone", e.endpoint.Zone),
+		zap.String("version", e.endpoint.Version), zap.Stringer("outcome", retry.Answered), zap.Int("status", e.status),
+		zap.Bool("cut", e.cut), zap.Int("attempts", len(c.tried)), zap.Uint64("revision", c.snapshot.Revision()),
+		zap.Duration("took", time.Since(c.began)), zap.Duration("left", time.Until(c.deadline)))
+}
+
 // decidedBy returns what a decision on the call rests on.
 func (c *call) decidedBy(failed *failure) []zap.Field {
 	fields := []zap.Field{
@@ -155,6 +178,10 @@
 		zap.String("reason", string(failed.reason)),
 		zap.String("detail", failed.detail),
 	}
+	if failed.load != nil {
+		fields = append(fields, zap.Int32("outstanding", failed.load.GetOutstanding()),
+			zap.Int32("queued", failed.load.GetQueued()), zap.Int32("slots", failed.load.GetSlots()))
+	}
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name))
 	}
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -168,7 +168,7 @@
 	}
 	return &refusal{
 		reason:     peerpb.RefusalReason_REFUSAL_REASON_OVERLOADED,
-		detail:     "no slot within the deadline",
+		detail:     "no slot in time",
 		retryAfter: retryAfter,
 	}
 }
