--- a/coord/balance/balance_test.go
+++ b/coord/balance/balance_test.go
@@ -220,20 +220,6 @@
 	}
 }
 
-// A host behind a cut gets no calls while others take them, however loaded.
-func TestSuspectHostsAreTheLastChoice(t *testing.T) {
-	is := is.New(t)
-	all := []gossip.Member{member("a0", "a", "west", "v1"), member("b0", "b", "west", "v1"), member("b1", "b", "west", "v1")}
-	all[0].Status, all[1].Status = gossip.Suspect, gossip.Suspect
-	group := NewIndex(self, all, nil).Group("orders", "v1")
-	group.Endpoints()[2].Observe(Report{Outstanding: 4, Queued: 9, Slots: 4}, now)
-	random := source(3)
-	for range 100 {
-		is.Equal(group.Pick(random, now, nil).Host, "b1")
-	}
-	is.True(group.Pick(random, now, []string{"b1"}) != nil) // one that seems lost is better than none
-}
-
 func TestReportedLoadCountsUntilItIsOld(t *testing.T) {
 	is := is.New(t)
 	endpoint := NewIndex(self, members(1, "v1"), nil).Group("orders", "v1").Endpoints()[0]
--- a/coord/balance/group.go
+++ b/coord/balance/group.go
@@ -48,8 +48,8 @@
 }
 
 // Pick chooses an endpoint whose host is not among tried, or nil if there is
-// none. Endpoints that are suspect, ejected or avoided are chosen only when no other
-// is left.
+// none. Endpoints that are ejected or avoided are chosen only when no other is
+// left.
 func (g *Group) Pick(random Source, now time.Duration, tried []string) *Endpoint {
 	for {
 		endpoint := g.pick(random, now, tried, (*Endpoint).healthy)
@@ -67,7 +67,7 @@
 func anyHealth(*Endpoint, time.Duration) bool { return true }
 
 func (e *Endpoint) healthy(now time.Duration) bool {
-	if e.Suspect || e.avoided(now) || e.health.ejected(now) {
+	if e.avoided(now) || e.health.ejected(now) {
 		return false
 	}
 	return !e.health.probation(now) || e.health.mayTry(now)
--- a/coord/balance/index.go
+++ b/coord/balance/index.go
@@ -117,7 +117,6 @@
 			Address:     member.PeerAddress,
 			Version:     version.Version,
 			Slots:       count,
-			Suspect:     member.Status == gossip.Suspect,
 			State:       state,
 			incarnation: member.Incarnation,
 		})
--- a/coord/balance/state.go
+++ b/coord/balance/state.go
@@ -41,9 +41,6 @@
 	// Slots is the number of requests that the host's targets of the version
 	// announced to run at once.
 	Slots int
-	// Suspect is set while the host answers no probes of this zone's members. It is
-	// chosen only when no other is left: calls to it would wait for their deadlines.
-	Suspect bool
 	*State
 
 	incarnation uint64
