Let kinds of requests in whose service time is unknown or old

Cause: a target judges a wait by the service times of the kinds it has run. A kind that it had not run yet was taken for as long as the average of all. An estimate learnt from a slow spell locks a kind out alike.

Ruled out: the quarantine of requests, which refuses with a reason of its own, and the routing (the lines of the refusals name the host, its 12 busy slots and 5 in the queue, with 0.19 s left).

Change: a kind that has not run counts as 0 until it is known, and the estimate of a kind fades from a second after its last run.

--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -91,12 +91,12 @@
 	outstanding int
 	queue       []Request // by priority, then in order of arrival
 	took        average
-	kinds       map[string]*average
+	kinds       map[string]*estimate
 }
 
 // NewTarget returns the state of a cold target without work.
 func NewTarget(config Config, now time.Time) *Target {
-	return &Target{config: config, started: now, kinds: make(map[string]*average)}
+	return &Target{config: config, started: now, kinds: make(map[string]*estimate)}
 }
 
 // SetSlots changes the number of slots. Requests that run are not affected.
@@ -200,7 +200,7 @@
 
 // answered estimates when a request with ahead others before it is answered.
 func (t *Target) answered(r Request, ahead int, now time.Time) time.Time {
-	return now.Add(t.wait(ahead, now) + t.serviceTime(r.Kind))
+	return now.Add(t.wait(ahead, now) + t.serviceTime(r.Kind, now))
 }
 
 // reservePart is the part of the slots for which requests may wait that are late
@@ -216,15 +216,19 @@
 func (t *Target) wait(ahead int, now time.Time) time.Duration {
 	work := t.took.value
 	for _, r := range t.queue[:ahead] {
-		work += t.serviceTime(r.Kind)
+		work += t.serviceTime(r.Kind, now)
 	}
 	return work / time.Duration(max(t.open(now), 1))
 }
 
-// serviceTime estimates how long a request of a kind runs.
-func (t *Target) serviceTime(kind string) time.Duration {
+// serviceTime estimates how long a request of a kind runs. A kind that has not run
+// yet takes no time, so that it is let in and becomes known.
+func (t *Target) serviceTime(kind string, now time.Time) time.Duration {
 	if known := t.kinds[kind]; known != nil {
-		return known.value
+		return known.faded(now)
+	}
+	if len(t.kinds) < maxKinds {
+		return 0
 	}
 	return t.took.value
 }
@@ -238,11 +242,11 @@
 	t.took.add(took)
 	known := t.kinds[kind]
 	if known == nil && len(t.kinds) < maxKinds {
-		known = &average{}
+		known = &estimate{}
 		t.kinds[kind] = known
 	}
 	if known != nil {
-		known.add(took)
+		known.add(took, now)
 	}
 	return t.Abandon(now)
 }
--- a/coord/admission/target_test.go
+++ b/coord/admission/target_test.go
@@ -230,3 +230,35 @@
 		t.Fatalf("%d requests starved", len(m.waiting))
 	}
 }
+
+// A kind of which little is known is let in to be learnt: an estimate that keeps all
+// of its requests out would never be corrected.
+func TestEstimatesLockNoKindOut(t *testing.T) {
+	const long, short = 300 * time.Millisecond, 200 * time.Millisecond
+	cases := []struct {
+		name  string
+		learn string        // the kind that ran for long
+		after time.Duration // since then
+		want  admission.Verdict
+	}{
+		{"another kind is long", "sheet", 0, admission.Wait},
+		{"the kind was long just now", "call", 0, admission.Refuse},
+		{"the kind was long a while ago", "call", 10 * time.Second, admission.Wait},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			target := admission.NewTarget(admission.Config{Slots: 12, QueueLength: 16}, start)
+			now := start
+			far := start.Add(time.Hour)
+			target.Arrive(admission.Request{ID: 1, Deadline: far, Kind: c.learn}, now)
+			target.Done(c.learn, long, now)
+			for id := range uint64(12) { // all slots are taken again
+				target.Arrive(admission.Request{ID: 10 + id, Deadline: far, Kind: "sheet"}, now)
+			}
+			now = now.Add(c.after)
+			action, _ := target.Arrive(admission.Request{ID: 2, Deadline: now.Add(short), Kind: "call", Priority: 1}, now)
+			is.Equal(action.Verdict, c.want)
+		})
+	}
+}
