--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -167,6 +167,9 @@
 		zap.Duration("took", time.Since(c.began)), zap.Duration("left", time.Until(c.deadline)))
 }
 
+// maxLoggedPath bounds the path in a line, in bytes.
+const maxLoggedPath = 128
+
 // decidedBy returns what a decision on the call rests on.
 func (c *call) decidedBy(failed *failure) []zap.Field {
 	fields := []zap.Field{
@@ -184,6 +187,9 @@
 	}
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name))
+	} else {
+		path := c.request.URL.Path
+		fields = append(fields, zap.String("authority", c.request.Host), zap.String("path", path[:min(len(path), maxLoggedPath)]))
 	}
 	if c.snapshot != nil {
 		fields = append(fields, zap.Uint64("revision", c.snapshot.Revision()))
