Offer all slots of a target that states how long it is cold

Cause: a worker that has just started says for how long it is slow, and the exit opened its slots one by one over that time.

Ruled out: the start of the daemons (40.69 to 40.84, all by 0.9 s after the power), the store (reached by all within 0.1 s), and the heartbeats (all targets known by 40.9).

Change: such a target offers all its slots at once and stays cold in what others and moves see; targets that say nothing still open theirs over exit.warmUp.

--- a/coord/admission/load_test.go
+++ b/coord/admission/load_test.go
@@ -62,8 +62,13 @@
 // play runs the load for a time. Flat hides kinds, priorities and aims, as before
 // they were told apart.
 func play(load []kind, flat bool, seconds int) played {
+	return playOn(admission.Config{Slots: 12, QueueLength: 16}, load, flat, seconds)
+}
+
+// playOn is play on a target with a configuration of its own.
+func playOn(config admission.Config, load []kind, flat bool, seconds int) played {
 	r := rand.New(rand.NewPCG(1, 2))
-	target := admission.NewTarget(admission.Config{Slots: 12, QueueLength: 16}, start)
+	target := admission.NewTarget(config, start)
 	asked, served, inAim := map[string]int{}, map[string]int{}, map[string]int{}
 	waiting := map[uint64]*kind{}
 	arrived := map[uint64]time.Time{}
@@ -154,6 +159,23 @@
 	is.True(after["sheet"] > before["sheet"]-0.1)
 }
 
+// cold is nine tenths of what a target bears that takes twice as long as usual, as
+// one that has just started does.
+var cold = []kind{{"browse", 90, 120 * time.Millisecond, 800 * time.Millisecond, 0, 200 * time.Millisecond}}
+
+// After a start of all targets there is nowhere else to go: one that opens its slots
+// one by one refuses a part of what it can serve.
+func TestColdTargetServesWithAllItsSlots(t *testing.T) {
+	is := is.New(t)
+	const seconds = 4
+	warming := admission.Config{Slots: 12, QueueLength: 16, WarmUp: seconds * time.Second}
+	before, after := playOn(warming, cold, false, seconds), play(cold, false, seconds)
+	t.Logf("before %v, after %v", before, after)
+	is.True(after.served["browse"] > 0.9)
+	is.True(after.served["browse"] > before.served["browse"]+0.2)
+	is.True(after.inAim["browse"] > before.inAim["browse"]+0.2)
+}
+
 // A slow target refuses what another one can still answer in time, before it has
 // waited, and stays as busy.
 func TestSlowTargetKeepsItsAnswersUseful(t *testing.T) {
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -131,10 +131,14 @@
 		WarmUp:      e.settings.WarmUp.Std(),
 	}
 	if a.Lifetime != 0 {
-		config.WarmUp = a.Cold.Std()
+		// A target that states how long it is cold takes all its requests at once, if
+		// slower. When all targets start together, the opening of slots one by one
+		// would refuse what they can serve.
+		config.WarmUp = 0
 	}
 	a.Leaving = false
 	t := newTarget(a, config, now)
+	t.coldUntil = now.Add(a.Cold.Std())
 	e.targets[a.Instance] = t
 	e.versions[t.key] = append(e.versions[t.key], t)
 	e.log.Info("target announced", zap.String("instance", a.Instance),
--- a/mesh/exit/lifetime_test.go
+++ b/mesh/exit/lifetime_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/mesh/admin"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/settings"
@@ -96,3 +97,17 @@
 	a.Address = s.Target
 	is.NoErr(e.Announce(a))
 }
+
+// TestColdTargetOffersAllItsSlots announces a target that states how long it is
+// cold.
+func TestColdTargetOffersAllItsSlots(t *testing.T) {
+	is := is.New(t)
+	s := settings.Default()
+	e := New(s.Exit, peer.Identity{Host: "h1", Zone: "a"}, zap.NewNop())
+	is.NoErr(e.Announce(admin.Announcement{
+		Instance: "i1", Service: "desk", Version: "v1", Address: "127.0.0.1:9", Slots: 12,
+		Lifetime: 100, Sequence: 1, Cold: revision.Duration(time.Minute),
+	}))
+	is.Equal(e.Outstanding("desk", "v1"), Load{Slots: 12})
+	is.Equal(e.Targets()[0].State, gossip.TargetCold)
+}
--- a/mesh/exit/target.go
+++ b/mesh/exit/target.go
@@ -16,6 +16,7 @@
 	admission *admission.Target
 	waiting   map[uint64]chan admission.Action
 	expires   time.Time
+	coldUntil time.Time // as the target states it
 	crash     uint64 // number of the crash, 0 before
 	conns     *targetPool
 }
@@ -47,7 +48,7 @@
 	switch {
 	case t.Leaving:
 		return gossip.TargetLeaving
-	case t.admission.Cold(now):
+	case now.Before(t.coldUntil) || t.admission.Cold(now):
 		return gossip.TargetCold
 	}
 	return gossip.TargetReady
