--- a/mesh/exit/target.go
+++ b/mesh/exit/target.go
@@ -17,7 +17,7 @@
 	waiting   map[uint64]chan admission.Action
 	expires   time.Time
 	coldUntil time.Time // as the target states it
-	crash     uint64 // number of the crash, 0 before
+	crash     uint64    // number of the crash, 0 before
 	conns     *targetPool
 }
 
