--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -227,10 +227,7 @@
 	if known := t.kinds[kind]; known != nil {
 		return known.faded(now)
 	}
-	if len(t.kinds) < maxKinds {
-		return 0
-	}
-	return t.took.value
+	return 0
 }
 
 // RetryAfter estimates when a refused request would find room.
@@ -241,19 +238,34 @@
 func (t *Target) Done(kind string, took time.Duration, now time.Time) []Action {
 	t.took.add(took)
 	known := t.kinds[kind]
-	if known == nil && len(t.kinds) < maxKinds {
+	if known == nil {
+		t.forgetKind()
 		known = &estimate{}
 		t.kinds[kind] = known
 	}
-	if known != nil {
-		known.add(took, now)
-	}
+	known.add(took, now)
 	return t.Abandon(now)
 }
 
-// maxKinds bounds the kinds whose service times are kept apart.
+// maxKinds bounds the kinds whose service times are kept: more than the routes of a
+// service that carry traffic at one time.
 const maxKinds = 64
 
+// forgetKind makes room for another kind: that which has not run for the longest
+// time is forgotten.
+func (t *Target) forgetKind() {
+	if len(t.kinds) < maxKinds {
+		return
+	}
+	oldest := ""
+	for kind, known := range t.kinds {
+		if oldest == "" || known.at.Before(t.kinds[oldest].at) {
+			oldest = kind
+		}
+	}
+	delete(t.kinds, oldest)
+}
+
 // Abandon frees the slot of a request that was not dispatched and decides on
 // those that wait.
 func (t *Target) Abandon(now time.Time) []Action {
--- a/coord/admission/target_test.go
+++ b/coord/admission/target_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -262,3 +263,23 @@
 		})
 	}
 }
+
+// Kinds come and go with the routes of configurations; those of today are known
+// however many there were before.
+func TestKindsOfThePastMakeRoom(t *testing.T) {
+	is := is.New(t)
+	target := admission.NewTarget(admission.Config{Slots: 1, QueueLength: 16}, start)
+	now, far := start, start.Add(time.Hour)
+	run := func(kind string, took time.Duration) {
+		target.Arrive(admission.Request{ID: 1, Deadline: far, Kind: kind}, now)
+		now = now.Add(took)
+		target.Done(kind, took, now)
+	}
+	for i := range 1000 {
+		run(fmt.Sprint("old ", i), time.Millisecond)
+	}
+	run("sheet", 300*time.Millisecond)
+	target.Arrive(admission.Request{ID: 2, Deadline: far, Kind: "sheet"}, now)
+	action, _ := target.Arrive(admission.Request{ID: 3, Deadline: now.Add(200 * time.Millisecond), Kind: "sheet"}, now)
+	is.Equal(action.Verdict, admission.Refuse) // known to be too long
+}
