Close unused connections of callers when the daemon stops

Cause: the shutdown of net/http waits for a connection on which nothing arrived yet until it is five seconds old. A caller that had opened one and not used it held a stop up to the end of the drain time (6 s), and the daemon exited with 1.

Ruled out: a request in flight (the exit had drained, no call was logged) and the longer serving of the worker (the entry's time is as before).

Change: connections that were never used are closed once refusals have been told, as are those that are still accepted.

--- a/mesh/entry/server.go
+++ b/mesh/entry/server.go
@@ -40,13 +40,18 @@
 	lameDuck time.Duration
 	// serveTime is how long a stopping server goes on to serve new requests.
 	serveTime atomic.Int64 // nanoseconds
+
+	mu sync.Mutex
+	// unused are the connections on which no byte arrived yet.
+	unused   map[net.Conn]struct{}
+	stopping bool
 }
 
 // NewServer returns a server for the entry. Connections beyond
 // settings.MaxConnections are answered with a refusal and closed; a further
 // tenth beyond that is closed without one.
 func NewServer(settings settings.Entry, entry *Entry, log *zap.Logger) *Server {
-	server := &Server{entry: entry, limit: int64(settings.MaxConnections), lameDuck: lameDuck}
+	server := &Server{entry: entry, limit: int64(settings.MaxConnections), lameDuck: lameDuck, unused: make(map[net.Conn]struct{})}
 	server.SetLameDuck(settings.LameDuck.Std())
 	server.http = &http.Server{
 		Handler:           entry,
@@ -55,6 +60,7 @@
 		IdleTimeout:       idleTimeout,
 		WriteTimeout:      maxTimeout + headerTimeout,
 		ConnContext:       server.connContext,
+		ConnState:         server.track,
 		ErrorLog:          zap.NewStdLog(log),
 		// Without this net/http would answer OPTIONS * by itself.
 		DisableGeneralOptionsHandler: true,
@@ -81,9 +87,37 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.entry.Leave()
 	s.awaitNoConnections(ctx)
+	s.closeUnused()
 	return s.http.Shutdown(ctx)
 }
 
+// track notes which connections were not used yet.
+func (s *Server) track(conn net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state != http.StateNew {
+		delete(s.unused, conn)
+		return
+	}
+	if s.stopping {
+		_ = conn.Close()
+		return
+	}
+	s.unused[conn] = struct{}{}
+}
+
+// closeUnused closes the connections that were never used, and those that are still
+// to come. The shutdown of net/http would wait for each for five seconds and more,
+// longer than a stop may take.
+func (s *Server) closeUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for conn := range s.unused {
+		_ = conn.Close()
+	}
+}
+
 // ServeOn serves new requests for the time that callers take to learn that this
 // daemon leaves, and ends every connection with its next answer.
 func (s *Server) ServeOn(ctx context.Context) {
--- a/mesh/entry/shutdown_test.go
+++ b/mesh/entry/shutdown_test.go
@@ -58,3 +58,14 @@
 	is.NoErr(<-stopped)
 	is.Equal(w.hosts.runs(), 1)
 }
+
+// A connection that was opened and never used does not hold a stop up.
+func TestShutdownWaitsForNoUnusedConnection(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, testSettings(), nil, oneOf(answers(200, ""), nil))
+	dial(t, w)
+	waitFor(t, func() bool { return w.server.Connections() == 1 })
+	began := time.Now()
+	is.NoErr(w.server.Shutdown(t.Context()))
+	is.True(time.Since(began) < 2*time.Second) // net/http would wait for five
+}
