Keep a host's address through the proxy of faults

Cause: the stand-in of the store turns single hosts away by their address, but all connections came to it from the proxy. 'Controller cut off from the store' in TestRolloutsOnThePlatform therefore cut nothing off, and a new test of a daemon that the store does not answer passed on code that can't do it. Change: the proxy dials from the address of its caller.

--- a/integration/faultproxy/tcp.go
+++ b/integration/faultproxy/tcp.go
@@ -77,7 +77,9 @@
 		reset(client)
 		return
 	}
-	server, err := net.Dial("tcp", p.backend)
+	// The backend tells hosts apart by their addresses.
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+	server, err := dialer.Dial("tcp", p.backend)
 	if err != nil {
 		reset(client)
 		return
--- /dev/null
+++ b/integration/platform_restart_test.go
@@ -0,0 +1,90 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"sassafrasnotch.example/integration/cluster"
+	"sassafrasnotch.example/mesh/standin/platformserver"
+	"sassafrasnotch.example/platform/wire"
+)
+
+// restartWithin is the time after which a daemon that was restarted by itself
+// serves, whether the store answers it or not.
+const restartWithin = 4 * time.Second
+
+// TestRestartWithoutTheStore restarts daemons that the store does not answer. They
+// take the configuration from those that run, and never one that is older.
+func TestRestartWithoutTheStore(t *testing.T) {
+	ips := func(daemons []*cluster.Daemon) (ips []string) {
+		for _, d := range daemons {
+			ips = append(ips, d.Settings.Peer.Bind)
+		}
+		return ips
+	}
+	for _, c := range []struct {
+		name      string
+		restarted func(all []*cluster.Daemon) []*cluster.Daemon
+		faults    func(restarted []*cluster.Daemon) platformserver.Faults
+	}{
+		{
+			"one daemon, the store is out",
+			func(all []*cluster.Daemon) []*cluster.Daemon { return all[:1] },
+			func([]*cluster.Daemon) platformserver.Faults { return platformserver.Faults{Outage: true} },
+		},
+		{
+			"one daemon, which the store does not answer",
+			func(all []*cluster.Daemon) []*cluster.Daemon { return all[3:4] },
+			func(restarted []*cluster.Daemon) platformserver.Faults {
+				return platformserver.Faults{Silent: true, Only: ips(restarted)}
+			},
+		},
+		{
+			"all daemons but one, the store is out",
+			func(all []*cluster.Daemon) []*cluster.Daemon { return all[1:] },
+			func([]*cluster.Daemon) platformserver.Faults { return platformserver.Faults{Outage: true} },
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p := startOnPlatform(t)
+			added := wire.Route{
+				Name: "added", Host: platformHost, PathPrefix: "/added/", Kind: wire.KindSafe,
+				TimeoutMs: 1000, Service: "studio", MaxAttempts: 2,
+			}
+			p.Operate(wire.KeyConfig, config(7, added))
+			for _, d := range p.Daemons {
+				p.eventually(applyWithin, d.Settings.Host+" serves the new route", func() error {
+					if a := p.call(d, "GET", "/added/1", ""); !a.whole() {
+						return fmt.Errorf("status %d, %w", a.status, a.err)
+					}
+					return nil
+				})
+			}
+			restarted := c.restarted(p.Daemons)
+			p.PlatformFaults(c.faults(restarted))
+			for _, d := range restarted {
+				d.Kill()
+			}
+			for _, d := range restarted {
+				d.Launch()
+			}
+			began := time.Now()
+			for _, d := range restarted {
+				p.eventually(restartWithin-time.Since(began), d.Settings.Host+" serves the new route", func() error {
+					a := p.call(d, "GET", "/added/2", "")
+					if a.status == http.StatusNotFound {
+						t.Fatal("a daemon without the newest configuration must not deny a route")
+					}
+					if !a.whole() {
+						return fmt.Errorf("status %d, %w", a.status, a.err)
+					}
+					return nil
+				})
+				p.eventually(restartWithin-time.Since(began), d.Settings.Host+" takes requests", func() error { return p.ready(d) })
+			}
+		})
+	}
+}
--- /dev/null
+++ b/mesh/readers/readers_test.go
@@ -0,0 +1,77 @@
+package readers
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasnotch.example/coord/gossip"
+)
+
+// zoneOf returns the members of a zone of that many hosts.
+func zoneOf(hosts int) (members []gossip.Member) {
+	for i := range hosts {
+		record := gossip.Record{Host: fmt.Sprintf("host-%d", i), Zone: "a"}
+		members = append(members, gossip.Member{Record: record, Status: gossip.Alive})
+	}
+	return append(members, gossip.Member{Record: gossip.Record{Host: "elsewhere", Zone: "b"}, Status: gossip.Alive})
+}
+
+func TestReadersShareTheFollowers(t *testing.T) {
+	for _, c := range []struct{ hosts, readers int }{{1, 1}, {2, 2}, {4, 2}, {28, 2}, {36, 3}, {143, 9}} {
+		t.Run(fmt.Sprint(c.hosts), func(t *testing.T) {
+			is := is.New(t)
+			members := zoneOf(c.hosts)
+			follow := make(map[string]int)
+			direct := 0
+			for i := range c.hosts {
+				self := fmt.Sprintf("host-%d", i)
+				chosen := Choose(self, "a", members, true)
+				is.True(!slices.Contains(chosen, self))
+				if len(chosen) == 0 {
+					direct++
+					continue
+				}
+				is.Equal(len(chosen), c.readers)
+				follow[chosen[0]]++
+			}
+			is.Equal(direct, c.readers)
+			for _, followers := range follow {
+				is.True(followers <= followersEach)
+			}
+		})
+	}
+}
+
+func TestAReaderWithoutTheStoreFollowsAnother(t *testing.T) {
+	is := is.New(t)
+	members := zoneOf(4)
+	readers := Rank("host-0", "a", members)[:2]
+	is.Equal(Choose(readers[0], "a", members, true), nil)
+	is.Equal(Choose(readers[0], "a", members, false), readers[1:])
+	is.Equal(len(Choose("host-0", "a", zoneOf(1), false)), 0) // there is no other
+}
+
+func TestHostsThatMayBeGoneAreNoReaders(t *testing.T) {
+	for name, lose := range map[string]func(*gossip.Member){
+		"suspect": func(m *gossip.Member) { m.Status = gossip.Suspect },
+		"dead":    func(m *gossip.Member) { m.Status = gossip.Dead },
+		"leaving": func(m *gossip.Member) { m.Leaving = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			members := zoneOf(6)
+			first := Rank("host-0", "a", members)[0]
+			for i := range members {
+				if members[i].Host == first {
+					lose(&members[i])
+				}
+			}
+			ranked := Rank("other", "a", members)
+			is.True(!slices.Contains(ranked, first))
+			is.Equal(len(ranked), 6) // with "other"
+		})
+	}
+}
