Let readers of each zone hand the operator's rows to the other daemons

Cause: each daemon followed the store by itself. Change: whole rows with their versions go from daemon to daemon (RowsQuery). Two readers or more of each zone follow the store; the others ask a reader, which says whether it is current, then another, then read the store within half of the apply bound. The choice of readers is one pure package, which the ticket path uses too.

--- a/coord/rollout/state.go
+++ b/coord/rollout/state.go
@@ -129,11 +129,19 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return State{}, fmt.Errorf("rollout: decode move: %w", err)
 	}
+	if err := s.Check(); err != nil {
+		return State{}, fmt.Errorf("rollout: decode move: %w", err)
+	}
+	return s, nil
+}
+
+// Check returns an error if no controller can go on from the state.
+func (s *State) Check() error {
 	if !chart.Has(s.Step) {
-		return State{}, fmt.Errorf("rollout: decode move of %s: unknown step %q", s.Service, s.Step)
+		return fmt.Errorf("%s is at the unknown step %q", s.Service, s.Step)
 	}
 	if growing := s.Step == stepCanary || s.Step == stepRamp; growing && (s.Level < 0 || s.Level >= len(s.Levels)) {
-		return State{}, fmt.Errorf("rollout: decode move of %s: level %d of %d at step %s", s.Service, s.Level, len(s.Levels), s.Step)
+		return fmt.Errorf("%s is at level %d of %d in step %s", s.Service, s.Level, len(s.Levels), s.Step)
 	}
-	return s, nil
+	return nil
 }
--- a/mesh/daemon/configuration.go
+++ b/mesh/daemon/configuration.go
@@ -10,6 +10,7 @@
 	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/distribution"
 	"sassafrasnotch.example/mesh/membership"
+	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/source"
 )
@@ -31,8 +32,9 @@
 }
 
 var configurationModule = fx.Module("configuration", fx.Provide(
-	func(s settings.Settings, a adapter.Adapter, members *membership.Membership, logger *zap.Logger) *source.Source {
-		return source.New(a.Operator, a.Moves, members, source.Timing{
+	func(identity peer.Identity, s settings.Settings, a adapter.Adapter, members *membership.Membership, pool *peer.Pool, logger *zap.Logger) *source.Source {
+		self := source.Self{Host: identity.Host, Zone: identity.Zone}
+		return source.New(self, a.Operator, a.Moves, members, pool, source.Timing{
 			ApplyWithin: s.Configuration.ApplyWithin.Std(),
 			Settle:      s.Configuration.Settle.Std(),
 		}, logger.Named("source"))
--- a/mesh/daemon/control.go
+++ b/mesh/daemon/control.go
@@ -9,19 +9,21 @@
 	"sassafrasnotch.example/mesh/exit"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/peer/peerpb"
+	"sassafrasnotch.example/mesh/source"
 )
 
 // controlHandler hands control requests of other daemons to the parts that
 // serve them.
 type controlHandler struct {
 	distributor *distribution.Distributor
+	source      *source.Source
 	controller  *controller.Controller
 	claims      *claim.Claimer
 	exit        *exit.Exit
 }
 
-func newControlHandler(d *distribution.Distributor, c *controller.Controller, claims *claim.Claimer, x *exit.Exit) *controlHandler {
-	return &controlHandler{distributor: d, controller: c, claims: claims, exit: x}
+func newControlHandler(d *distribution.Distributor, s *source.Source, c *controller.Controller, claims *claim.Claimer, x *exit.Exit) *controlHandler {
+	return &controlHandler{distributor: d, source: s, controller: c, claims: claims, exit: x}
 }
 
 // ServeControl implements peer.ControlHandler.
@@ -38,6 +40,12 @@
 		return &peerpb.ControlReply{Body: &peerpb.ControlReply_Pull{Pull: reply}}
 	case *peerpb.ControlRequest_Held:
 		return &peerpb.ControlReply{Body: &peerpb.ControlReply_Held{Held: h.distributor.ServeHeld()}}
+	case *peerpb.ControlRequest_Rows:
+		reply, err := h.source.ServeRows(ctx, body.Rows)
+		if err != nil {
+			return controlError("hand over rows", err.Error())
+		}
+		return &peerpb.ControlReply{Body: &peerpb.ControlReply_Rows{Rows: reply}}
 	case *peerpb.ControlRequest_Outcomes:
 		reply := h.controller.Report(body.Outcomes)
 		return &peerpb.ControlReply{Body: &peerpb.ControlReply_Outcomes{Outcomes: reply}}
--- a/mesh/distribution/distributor.go
+++ b/mesh/distribution/distributor.go
@@ -17,6 +17,7 @@
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/mesh/peer/peerpb"
+	"sassafrasnotch.example/mesh/readers"
 )
 
 const (
@@ -25,7 +26,7 @@
 	platformTimeout = 3 * time.Second        // one catch-up from the platform
 	stageWait       = 2 * time.Second        // wait for other holders
 	staleAfter      = time.Second            // wait for the proof of a staged change
-	readersPerZone  = 2
+	readersPerZone  = readers.Least
 	witnesses       = 2  // other hosts that hold a change before it is applied
 	fanOut          = 8  // children of a host in the relay tree
 	compactSpacing  = 16 // revisions between two looks at the stored snapshots
--- a/mesh/distribution/topology.go
+++ b/mesh/distribution/topology.go
@@ -5,6 +5,7 @@
 
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/rendezvous"
+	"sassafrasnotch.example/mesh/readers"
 )
 
 // usable reports whether a member can be asked or told something.
@@ -24,18 +25,10 @@
 	return rendezvous.Rank("reader/"+d.self.Zone, hosts)
 }
 
-// IsReader reports whether this host reads the platform for its zone. Hosts
-// that are only suspected count as gone here: a host that can't hear the readers
-// reads for itself.
+// IsReader reports whether this host reads the platform for its zone.
 func (d *Distributor) IsReader() bool {
-	hosts := []string{d.self.Host}
-	for _, member := range d.members.View() {
-		if member.Zone == d.self.Zone && member.Host != d.self.Host && member.Status == gossip.Alive && !member.Leaving {
-			hosts = append(hosts, member.Host)
-		}
-	}
-	hosts = rendezvous.Rank("reader/"+d.self.Zone, hosts)
-	return slices.Contains(hosts[:min(readersPerZone, len(hosts))], d.self.Host)
+	ranked := readers.Rank(d.self.Host, d.self.Zone, d.members.View())
+	return slices.Contains(ranked[:min(readersPerZone, len(ranked))], d.self.Host)
 }
 
 // otherZones returns the usable hosts of each other zone, its readers first.
--- a/mesh/source/log.go
+++ b/mesh/source/log.go
@@ -25,7 +25,7 @@
 
 // NewLog returns a log that writes to the table.
 func NewLog(source *Source, table store.Table, ticketKey func(uint64) string) *Log {
-	return &Log{source: source, table: table, ticketKey: ticketKey, now: source.reader.Now}
+	return &Log{source: source, table: table, ticketKey: ticketKey, now: source.rows.Now}
 }
 
 // Append implements controller.Log.
--- a/mesh/source/rows.go
+++ b/mesh/source/rows.go
@@ -41,20 +41,20 @@
 // Configuration is the whole accepted state at one version.
 type Configuration struct {
 	// Number is the operator's version, the number of its ticket.
-	Number uint64
+	Number uint64 `json:"number"`
 	// Written is the version of the store at which it was written.
-	Written  uint64
-	Services []revision.Service
-	Routes   []revision.Route
+	Written  uint64             `json:"written"`
+	Services []revision.Service `json:"services"`
+	Routes   []revision.Route   `json:"routes"`
 }
 
 // Order is the order to move a service's traffic to a version.
 type Order struct {
-	Service string
-	Version string
-	Within  time.Duration
+	Service string        `json:"service"`
+	Version string        `json:"version"`
+	Within  time.Duration `json:"within"` // in nanoseconds
 	// Written is the version of the store at which it was given.
-	Written uint64
+	Written uint64 `json:"written"`
 }
 
 // Invalid is a row that could not be decoded.
@@ -75,5 +75,5 @@
 // written.
 type MoveRow struct {
 	rollout.State
-	Written uint64
+	Written uint64 `json:"written"`
 }
--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -1,7 +1,10 @@
 // Package source follows the configuration that operators write straight to the
-// platform's store, and the moves of traffic that they order there. Each daemon
-// reads for itself, so that it needs no other daemon to come up to date; a
-// newer revision that gossip reports makes it read at once.
+// platform's store, and the moves of traffic that they order there. Readers of each
+// availability zone follow the store's feed; the other daemons follow a reader, and
+// read the store themselves as soon as none tells them that it is current. A newer
+// revision that gossip reports is asked for at once. Daemons hand over whole rows
+// with the version of the store at which each was written, so that rows may come
+// from anywhere, in any order, and none goes back.
 package source
 
 import (
@@ -16,9 +19,9 @@
 )
 
 const (
-	// feedWait is how long the store may hold back an answer without changes:
-	// the longest that it allows, as each call costs.
-	feedWait = 30 * time.Second
+	// feedWait is how long the store may hold back an answer without changes. Each
+	// call costs, but an answer that was lost shows only when the wait is over.
+	feedWait = 10 * time.Second
 	// Pauses after a failed read; the first follows soon, as a changed
 	// configuration has to be in force within ApplyWithin.
 	retryFirst = 100 * time.Millisecond
@@ -27,11 +30,6 @@
 	nudgeSpacing = 500 * time.Millisecond
 )
 
-// Members tells and learns revisions by gossip.
-type Members interface {
-	SetRevision(revision uint64)
-}
-
 // Timing bounds what a source does.
 type Timing struct {
 	// ApplyWithin is the time within which a written configuration is to be in
@@ -47,26 +45,38 @@
 
 // Source keeps the daemon's copy of the configuration.
 type Source struct {
-	reader  Reader
+	self    Self
+	rows    Reader
 	moves   Moves
 	members Members
+	peers   Peers
 	logger  *zap.Logger
 
 	timing Timing
 
 	mu       sync.Mutex
 	view     *view
+	changed  chan struct{} // closed at the next change of the view; guarded by mu
+	encoded  encodedRows   // guarded by mu
 	onApply  []func(*revision.Snapshot)
 	applied  atomic.Pointer[applied]
 	rejected atomic.Pointer[string]
 
+	// reachable tells whether the last read of the store worked, direct whether this
+	// daemon follows the store besides.
 	reachable atomic.Bool
-	head      atomic.Uint64
-	nudged    chan struct{}
-	nudgedAt  time.Time // guarded by mu
-	// pending tells the goroutine that follows moves that one is running.
+	direct    atomic.Bool
+	// reader is the host that is followed, nil while the store is.
+	reader   atomic.Pointer[string]
+	head     atomic.Uint64
+	nudged   chan struct{}
+	nudgedAt time.Time // guarded by mu
+	// resumed tells the goroutine that follows the store to go on, pending the one
+	// that follows moves that one is running.
+	resumed chan struct{}
 	pending chan struct{}
 	stop    context.CancelFunc
+	stopped context.Context
 	running sync.WaitGroup
 }
 
@@ -76,15 +86,19 @@
 }
 
 // New returns a source that holds no configuration yet.
-func New(reader Reader, moves Moves, members Members, timing Timing, logger *zap.Logger) *Source {
+func New(self Self, rows Reader, moves Moves, members Members, peers Peers, timing Timing, logger *zap.Logger) *Source {
 	return &Source{
-		reader:  reader,
+		self:    self,
+		rows:    rows,
 		moves:   moves,
 		members: members,
+		peers:   peers,
 		logger:  logger,
 		view:    newView(timing.Settle),
+		changed: make(chan struct{}),
 		timing:  timing,
 		nudged:  make(chan struct{}, 1),
+		resumed: make(chan struct{}, 1),
 		pending: make(chan struct{}, 1),
 	}
 }
@@ -114,8 +128,9 @@
 	return newest
 }
 
-// PlatformReachable reports whether the last read of the store worked.
-func (s *Source) PlatformReachable() bool { return s.reachable.Load() }
+// PlatformReachable reports whether the last read of the store worked, or that of
+// the reader that is followed.
+func (s *Source) PlatformReachable() bool { return s.watching() || s.reachable.Load() }
 
 // LastRejection describes the last row that could not be applied.
 func (s *Source) LastRejection() string {
@@ -129,20 +144,55 @@
 // force, in order. It is called before Start.
 func (s *Source) OnApply(notify func(*revision.Snapshot)) { s.onApply = append(s.onApply, notify) }
 
-// NoteRevision takes in the newest revision that another daemon has applied.
-func (s *Source) NoteRevision(newest uint64, _ string) {
+// NoteRevision takes in the newest revision that another daemon has applied. A
+// daemon that follows the store reads it; one that does not asks the other daemon,
+// unless its reader brings the revision first.
+func (s *Source) NoteRevision(newest uint64, host string) {
 	s.head.Store(max(newest, s.head.Load()))
-	if snapshot := s.Snapshot(); snapshot != nil && snapshot.Revision() >= newest {
+	if s.holds(newest) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Since(s.nudgedAt) < nudgeSpacing {
+	if s.stopped == nil || s.stopped.Err() != nil || time.Since(s.nudgedAt) < nudgeSpacing {
 		return
 	}
 	s.nudgedAt = time.Now()
+	switch {
+	case s.watching():
+		s.running.Go(func() { s.fetch(newest, host, s.part(fetchPart)) })
+	case s.direct.Load():
+		wake(s.nudged) // the feed may have gone silent
+	default:
+		s.running.Go(func() { s.fetch(newest, host, 0) })
+	}
+}
+
+// fetch pulls a revision from the host that reported it if it is not in force after
+// the wait. If that does not bring it, the store is read.
+func (s *Source) fetch(newest uint64, host string, wait time.Duration) {
+	sleep(s.stopped, wait)
+	if s.holds(newest) || s.stopped.Err() != nil {
+		return
+	}
+	if _, err := s.pull(s.stopped, host, 0); err != nil {
+		s.logger.Info("newer revision not pulled", zap.String("peer", host), zap.Uint64("revision", newest), zap.Error(err))
+	}
+	if !s.holds(newest) {
+		s.followStore()
+	}
+}
+
+// holds reports whether a revision is in force.
+func (s *Source) holds(revision uint64) bool {
+	snapshot := s.Snapshot()
+	return snapshot != nil && snapshot.Revision() >= revision
+}
+
+// wake lets the goroutine that waits for the signal go on.
+func wake(signal chan struct{}) {
 	select {
-	case s.nudged <- struct{}{}:
+	case signal <- struct{}{}:
 	default:
 	}
 }
@@ -150,37 +200,53 @@
 // Start begins to follow the store.
 func (s *Source) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	s.stop = cancel
+	s.mu.Lock()
+	s.stop, s.stopped = cancel, ctx
+	s.mu.Unlock()
+	wake(s.resumed)
 	s.running.Go(func() { s.follow(ctx) })
 	s.running.Go(func() { s.followMoves(ctx) })
+	s.running.Go(func() { s.watch(ctx) })
 }
 
 // Stop ends all activity and waits for it.
 func (s *Source) Stop() {
+	s.mu.Lock()
 	s.stop()
+	s.mu.Unlock()
 	s.running.Wait()
 }
 
-// follow keeps the operator's rows current.
+// follow keeps the operator's rows current while no reader is followed.
 func (s *Source) follow(ctx context.Context) {
 	f := follower[Changes]{
 		name:    "operator rows",
 		logger:  s.logger,
 		read:    s.readAll,
-		await:   s.reader.Await,
+		await:   s.rows.Await,
 		through: func(c Changes) uint64 { return c.Through },
 		apply:   s.apply,
+		idle:    s.idle,
 		contact: s.contact,
 		nudge:   s.nudged,
-		spacing: time.Duration(float64(s.timing.ApplyWithin) * spacingPart),
+		spacing: s.part(spacingPart),
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.resumed:
+			f.restart = true
+			f.run(ctx)
+			s.direct.Store(false)
+		}
 	}
-	f.run(ctx)
 }
 
 // readAll reads the operator's rows, and those of moves first put in force, so
 // that a daemon that starts does not take a finished move for a new one.
 func (s *Source) readAll(ctx context.Context) (Changes, error) {
-	changes, err := s.reader.Read(ctx)
+	changes, err := s.rows.Read(ctx)
 	if err != nil || len(changes.Orders) == 0 {
 		return changes, err
 	}
@@ -203,7 +269,7 @@
 		await:   s.moves.AwaitMoves,
 		through: func(c MoveChanges) uint64 { return c.Through },
 		apply:   s.applyMoves,
-		idle:    func() bool { return !s.moving() },
+		idle:    func() bool { return s.idle() || !s.moving() },
 		contact: func(bool) {},
 	}
 	for {
@@ -218,6 +284,7 @@
 }
 
 func (s *Source) contact(reached bool) {
+	s.direct.Store(reached)
 	if s.reachable.Swap(reached) == reached {
 		return
 	}
@@ -248,18 +315,15 @@
 		}
 	}
 	for _, order := range changes.Orders {
-		if s.view.order(order, s.reader.Now()) {
+		if s.view.order(order, s.rows.Now()) {
 			s.logger.Info("move ordered", zap.String("service", order.Service),
 				zap.String("version", order.Version), zap.Duration("within", order.Within),
 				zap.Uint64("ticket", order.Written))
 		}
 	}
-	s.publish()
+	s.publish(storeName)
 	if s.view.moving() {
-		select {
-		case s.pending <- struct{}{}:
-		default:
-		}
+		wake(s.pending)
 	}
 }
 
@@ -272,7 +336,7 @@
 	for _, row := range changes.Moves {
 		s.view.move(row)
 	}
-	s.publish()
+	s.publish(storeName)
 }
 
 func (s *Source) reject(key string, written uint64, cause error) {
@@ -281,11 +345,17 @@
 	s.logger.Warn("row ignored", zap.String("key", key), zap.Uint64("revision", written), zap.Error(cause))
 }
 
+// storeName is the store's name as the origin of a state.
+const storeName = "store"
+
 // publish puts the state in force if it changed. The caller holds the lock.
-func (s *Source) publish() {
+func (s *Source) publish(origin string) {
 	if !s.view.changed {
 		return
 	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.encoded = encodedRows{}
 	next, err := s.view.snapshot()
 	if err != nil {
 		s.reject("configuration", s.view.configuration.Written, err)
@@ -299,7 +369,7 @@
 	s.members.SetRevision(next.Revision())
 	s.logger.Info("configuration applied", zap.Uint64("revision", next.Revision()),
 		zap.Uint64("ticket", s.view.configuration.Number), zap.Int("routes", len(s.view.configuration.Routes)),
-		zap.Int("moves", len(next.Moving())))
+		zap.Int("moves", len(next.Moving())), zap.String("origin", origin))
 	for _, notify := range s.onApply {
 		notify(next)
 	}
--- a/mesh/source/source_test.go
+++ b/mesh/source/source_test.go
@@ -10,10 +10,12 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/rollout"
 	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
+	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
 const testLimit = 10 * time.Second
@@ -109,14 +111,26 @@
 
 func (r *rows) Now() time.Time { return time.UnixMilli(1) }
 
-// told records the revisions that gossip would tell.
-type told struct{}
+// alone is the view of a daemon that knows no other one.
+type alone struct{}
 
-func (told) SetRevision(uint64) {}
+func (alone) SetRevision(uint64)    {}
+func (alone) View() []gossip.Member { return nil }
+
+// noPeers reaches no other daemon.
+type noPeers struct{}
+
+func (noPeers) Control(context.Context, string, string, *peerpb.ControlRequest) (*peerpb.ControlReply, error) {
+	return nil, errors.New("unreachable")
+}
+
+func newSource(r *rows) *Source {
+	return New(Self{"host", "a"}, r, r, alone{}, noPeers{}, Timing{ApplyWithin: time.Second, Settle: time.Second}, zap.NewNop())
+}
 
 func follow(t *testing.T, r *rows) *Source {
 	t.Helper()
-	s := New(r, r, told{}, Timing{ApplyWithin: time.Second, Settle: time.Second}, zap.NewNop())
+	s := newSource(r)
 	s.Start()
 	t.Cleanup(s.Stop)
 	return s
@@ -318,7 +332,7 @@
 func TestConfigurationBehindALaterMoveIsApplied(t *testing.T) {
 	is := is.New(t)
 	r := newRows()
-	s := New(r, r, told{}, Timing{ApplyWithin: time.Second, Settle: time.Second}, zap.NewNop())
+	s := newSource(r)
 	s.apply(Changes{Configurations: []Configuration{configuration(4, 1, "/a/")}, Orders: []Order{orderOf("v2", 2)}})
 	s.applyMoves(MoveChanges{Moves: []MoveRow{moveOf("v2", 2, 500, ticket.Running, 9)}})
 	s.apply(Changes{Configurations: []Configuration{configuration(5, 7, "/a/", "/b/")}})
--- a/mesh/source/view.go
+++ b/mesh/source/view.go
@@ -75,11 +75,16 @@
 	v.moves[row.Service] = row
 	v.changed = true
 	if row.Verdict == ticket.TakenBack {
-		if v.barred[row.Service] == nil {
-			v.barred[row.Service] = make(map[string]bool)
-		}
-		v.barred[row.Service][row.To] = true
+		v.bar(row.Service, row.To)
+	}
+}
+
+// bar notes that a version of a service was taken back.
+func (v *view) bar(service, version string) {
+	if v.barred[service] == nil {
+		v.barred[service] = make(map[string]bool)
 	}
+	v.barred[service][version] = true
 }
 
 // moving reports whether an order has no verdict yet.
