Stop a bad version by the hosts in line, without its controller

Cause: with the controller killed, frozen or cut off, a bad version went on until another host had taken the lease over, a term and up to two ticks after the last renewal: the last bad request came 3.5 to 4.8 s after the 50th bad answer, the rule allows 5 s. The answers to outcome reports named trips, but nothing read them. Ruled out: a shorter lease, as a host that is only slow would lose it; more zone trips, as a zone has too little traffic to judge by itself. Change: the hosts that receive all reports weigh them as the holder does; one that finds the version bad stops it in every zone, and the answers to reports carry that to the zones, which now read them. The reason of a verdict names zones, or every zone. Tests: TestHostInLineStopsABadVersion fails without it (2 s now, the lease's term is 3 s), TestOnlyHostsInLineStopEveryZone. TestLocalTrip and TestSlowPlatform asked for one trip and now ask for exactly that of the zone, and at hosts in line that of every zone too; the reply is compared whole in place of a list of services. TestTrip: new wording.

--- a/coord/rollout/chart.go
+++ b/coord/rollout/chart.go
@@ -197,7 +197,7 @@
 	case e.Verdict.Kind == detect.Bad:
 		return "worse than " + in.state.From + ": " + e.Verdict.Reason.String()
 	case len(e.Tripped) > 0:
-		return "stopped locally in zone " + strings.Join(e.Tripped, ", ")
+		return "stopped in " + strings.Join(e.Tripped, ", ")
 	case e.Hosts.To == 0:
 		return "not proved good by its deadline: no ready target of " + in.state.To
 	case !e.Reporting:
--- a/coord/rollout/rollout.go
+++ b/coord/rollout/rollout.go
@@ -26,7 +26,7 @@
 	Hosts Hosts
 	// Rate is the service's traffic in requests a second.
 	Rate float64
-	// Tripped names the zones that stopped sending to the new version.
+	// Tripped describes the zones that stopped sending to the new version.
 	Tripped []string
 	// Reporting is true while outcome reports of the service arrive.
 	Reporting bool
--- a/coord/rollout/rollout_test.go
+++ b/coord/rollout/rollout_test.go
@@ -119,7 +119,7 @@
 	}{
 		{"no targets", Evidence{Reporting: true}, "not proved good by its deadline: no ready target of v2"},
 		{"no reports", Evidence{Hosts: hosts}, "not proved good by its deadline: no outcome reports"},
-		{"local trip", Evidence{Hosts: hosts, Reporting: true, Tripped: []string{"a"}}, "stopped locally in zone a"},
+		{"local trip", Evidence{Hosts: hosts, Reporting: true, Tripped: []string{"zone a"}}, "stopped in zone a"},
 		{"suspicion", Evidence{Hosts: hosts, Reporting: true, Verdict: func() detect.Verdict {
 			v := good
 			v.Suspicion = 0.9
--- a/mesh/controller/controller.go
+++ b/mesh/controller/controller.go
@@ -175,22 +175,19 @@
 func (c *Controller) Resign() { c.resigned.Store(true) }
 
 // Report takes in an outcome report. It may come from any host, directly or
-// relayed, and any number of times.
+// relayed, and any number of times. The reply holds the trips that are known here,
+// so that every zone that reports learns of them.
 func (c *Controller) Report(report *peerpb.OutcomeReport) *peerpb.OutcomeReply {
 	c.inbox.add(report)
-	reply := &peerpb.OutcomeReply{}
-	for _, trip := range c.inbox.trips() {
-		if trip.GetZone() == c.config.Zone {
-			reply.Tripped = append(reply.Tripped, trip.GetService())
-		}
-	}
-	return reply
+	return &peerpb.OutcomeReply{Trips: c.inbox.trips()}
 }
 
-// Trips returns the local trips that this host knows of: those of its own zone
-// that it found itself and those that reports told it. They go with every
-// report of this host, and daemons of a trip's zone no longer send to the
-// version.
+// Learn takes in the trips that another host answered a report with.
+func (c *Controller) Learn(trips []*peerpb.Trip) { c.inbox.learn(trips) }
+
+// Trips returns the trips that this host knows of: those that it found itself and
+// those that reports and replies told it. They go with every report of this host,
+// and daemons of a trip's zone no longer send to the version.
 func (c *Controller) Trips() []*peerpb.Trip { return c.inbox.trips() }
 
 // Holding returns the services whose moves this host controls, as far as it
--- a/mesh/controller/controller_test.go
+++ b/mesh/controller/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -37,10 +38,12 @@
 	members  []gossip.Member
 	sequence uint64
 	shares   []int
+	// preference is that of the service.
+	preference revision.Preference
 }
 
 func newBench(is *is.I, window time.Duration) *bench {
-	b := &bench{Memory: store.NewMemory(), now: time.Unix(1700000000, 0)}
+	b := &bench{Memory: store.NewMemory(), now: time.Unix(1700000000, 0), preference: revision.PreferDeadline}
 	move := revision.Move{
 		Ticket: testTicket, From: "v1", To: "v2", Target: revision.FullShare,
 		By: b.now.Add(window), Step: ticket.AnnouncedStep,
@@ -77,7 +80,7 @@
 	if b.split.Move == nil {
 		return nil
 	}
-	return []Move{{Service: "orders", Preference: revision.PreferDeadline, Move: *b.split.Move}}
+	return []Move{{Service: "orders", Preference: b.preference, Move: *b.split.Move}}
 }
 
 // Get implements store.Table.
@@ -322,7 +325,15 @@
 	}
 	b.second(0, all...)
 	is.Equal(b.status(is).Verdict, ticket.TakenBack)
-	is.Equal(b.status(is).Reason, "stopped locally in zone c (failures)")
+	is.Equal(b.status(is).Reason, "stopped in zone c (failures)")
+}
+
+// tripped returns the zones of the trips that a host knows of.
+func tripped(c *Controller) (zones []string) {
+	for _, trip := range c.Trips() {
+		zones = append(zones, trip.GetZone())
+	}
+	return zones
 }
 
 // TestLocalTrip finds a bad version in the own zone without the platform.
@@ -338,11 +349,14 @@
 		b.second(2, all...)
 	}
 	is.True(b.split.Move != nil)
+	in := all[0].Hosts(b.RunningMoves()[0])
 	for _, c := range all {
-		trips := c.Trips()
-		is.Equal(len(trips), 1)
-		is.Equal(trips[0].GetZone(), "a")
-		is.Equal(c.Report(&peerpb.OutcomeReport{}).GetTripped(), []string{"orders"})
+		want := []string{"a"} // found by the zone itself
+		if slices.Contains(in, c.config.Host) {
+			want = []string{EveryZone, "a"}
+		}
+		is.Equal(tripped(c), want)
+		is.Equal(c.Report(&peerpb.OutcomeReport{}).GetTrips(), c.Trips())
 	}
 	b.outage = nil
 	b.run(10*time.Second, 2, all...)
@@ -366,7 +380,7 @@
 		c.Report(b.report(400, 2))
 		c.start(ctx, &advancing)
 	}
-	is.Equal(len(c.Trips()), 1)
+	is.Equal(tripped(c), []string{EveryZone, "a"})
 	close(b.hang)
 	advancing.Wait()
 	cancel()
--- a/mesh/controller/evidence.go
+++ b/mesh/controller/evidence.go
@@ -27,7 +27,8 @@
 	meter      meter
 	reportedAt time.Time
 	setting    setting
-	reach      int // of the move in force
+	reach      int  // of the move in force
+	stopped    bool // a trip of every zone was found here
 }
 
 // setting tells one step's traffic from the next.
@@ -66,16 +67,35 @@
 	}
 	e.detector.EndWindow()
 	if reason, tripped := e.zone.EndWindow(); tripped {
-		e.controller.config.Logger.Warn("zone stops sending to a version",
-			zap.String("service", e.move.Service), zap.String("version", e.move.To),
-			zap.Uint64("ticket", e.move.Ticket), zap.String("reason", reason))
-		e.controller.inbox.trip(&peerpb.Trip{
-			Service: e.move.Service, Version: e.move.To, Ticket: e.move.Ticket,
-			Zone: e.controller.config.Zone, Reason: reason,
-		})
+		e.trip(e.controller.config.Zone, reason)
+	}
+	if verdict := e.detector.Verdict(); verdict.Kind == detect.Bad && !e.stopped && e.inLine(inForce) {
+		e.stopped = true
+		e.trip(EveryZone, verdict.Reason.String())
 	}
 }
 
+// EveryZone is the zone of a trip that holds everywhere.
+const EveryZone = ""
+
+// inLine reports whether this host receives all reports of the move. Such a host
+// stops a bad version everywhere whether or not it holds the lease, which it could
+// take over only a term after its holder was lost.
+func (e *evidence) inLine(inForce revision.Move) bool {
+	move := Move{Service: e.move.Service, Preference: e.move.Preference, Move: inForce}
+	return slices.Contains(e.controller.Hosts(move), e.controller.config.Host)
+}
+
+// trip stops the traffic of a zone, or of every zone, to the new version.
+func (e *evidence) trip(zone, reason string) {
+	e.controller.config.Logger.Warn("no more calls to a version",
+		zap.String("service", e.move.Service), zap.String("version", e.move.To),
+		zap.Uint64("ticket", e.move.Ticket), zap.String("for_zone", zone), zap.String("reason", reason))
+	e.controller.inbox.trip(&peerpb.Trip{
+		Service: e.move.Service, Version: e.move.To, Ticket: e.move.Ticket, Zone: zone, Reason: reason,
+	})
+}
+
 // enter starts the evidence of a step when the traffic's setting has changed.
 func (e *evidence) enter(s setting) {
 	e.mu.Lock()
@@ -104,17 +124,24 @@
 	}
 }
 
-// trippedZones returns the zones that stopped sending to the new version.
+// trippedZones describes the zones that stopped sending to the new version.
 func (e *evidence) trippedZones() []string {
 	var zones []string
 	for _, trip := range e.controller.inbox.trips() {
 		if trip.GetService() == e.move.Service {
-			zones = append(zones, trip.GetZone()+" ("+trip.GetReason()+")")
+			zones = append(zones, nameOfZone(trip.GetZone())+" ("+trip.GetReason()+")")
 		}
 	}
 	return zones
 }
 
+func nameOfZone(zone string) string {
+	if zone == EveryZone {
+		return "every zone"
+	}
+	return "zone " + zone
+}
+
 // isOld reports whether traffic moves away from the version.
 func (e *evidence) isOld(version string) bool {
 	if e.move.From == revision.AnyVersion {
--- a/mesh/controller/inbox.go
+++ b/mesh/controller/inbox.go
@@ -88,6 +88,14 @@
 	}
 }
 
+func (b *inbox) learn(trips []*peerpb.Trip) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, trip := range trips {
+		b.addTrip(trip)
+	}
+}
+
 func concerns(report *peerpb.OutcomeReport, service string) bool {
 	return slices.ContainsFunc(report.GetCounts(), func(count *peerpb.OutcomeCount) bool {
 		return count.GetService() == service
@@ -166,7 +174,7 @@
 	}
 }
 
-// trip notes a trip of this host's own zone.
+// trip notes a trip that this host found.
 func (b *inbox) trip(trip *peerpb.Trip) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/mesh/daemon/notices.go
+++ b/mesh/daemon/notices.go
@@ -53,7 +53,7 @@
 func (n *notices) publishTrips() {
 	for _, found := range n.controller.Trips() {
 		trip := gossip.Trip{Service: found.Service, Version: found.Version, Ticket: found.Ticket}
-		if found.Zone != n.zone || n.trips[trip] {
+		if found.Zone != n.zone && found.Zone != controller.EveryZone || n.trips[trip] {
 			continue
 		}
 		n.trips[trip] = true
--- a/mesh/outcomes/outcomes.go
+++ b/mesh/outcomes/outcomes.go
@@ -38,6 +38,8 @@
 type Controllers interface {
 	Hosts(move controller.Move) []string
 	Trips() []*peerpb.Trip
+	// Learn takes in the trips that a host answered a report with.
+	Learn(trips []*peerpb.Trip)
 }
 
 // Peers exchanges control messages with other daemons.
@@ -148,7 +150,10 @@
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	request := &peerpb.ControlRequest{From: r.config.Host, Body: &peerpb.ControlRequest_Outcomes{Outcomes: report}}
-	if _, err := r.config.Peers.Control(ctx, member.Host, member.PeerAddress, request); err != nil {
+	reply, err := r.config.Peers.Control(ctx, member.Host, member.PeerAddress, request)
+	if err != nil {
 		r.config.Logger.Debug("outcome report not delivered", zap.String("peer", member.Host), zap.Error(err))
+		return
 	}
+	r.config.Controllers.Learn(reply.GetOutcomes().GetTrips())
 }
