Give each run of a daemon a higher incarnation than the one before

Cause: the incarnation came from the wall clock alone. A daemon that started with a clock that was set back was ignored by the others until it met its own earlier record by gossip. Ruled out: the version of the row as the incarnation, as a daemon that starts while the store is out has none. Change: the host's row holds the incarnation, and the first read of the rows raises the own one above it. A row that can't be read is logged in place of passed over. TestEarlierIncarnationIsOutbid stays for gossip. Measured: tests of coord/gossip, mesh/membership and mesh/daemon pass.

--- a/coord/gossip/merge.go
+++ b/coord/gossip/merge.go
@@ -75,6 +75,14 @@
 	return nil
 }
 
+// Outbid raises this host's incarnation above one that an earlier start of it is
+// known to have had. The clock that the first incarnation is taken from may have been
+// set back since.
+func (n *Node) Outbid(now time.Time, incarnation uint64) Output {
+	n.outbid(incarnation, 0, now)
+	return n.flush()
+}
+
 // outbid raises this host's own version above one that is in circulation: left
 // from an earlier start whose clock was ahead, or claimed to be unreachable.
 func (n *Node) outbid(incarnation, sequence uint64, now time.Time) {
--- a/mesh/daemon/hosts.go
+++ b/mesh/daemon/hosts.go
@@ -35,6 +35,9 @@
 	Zone          string    `json:"zone"`
 	GossipAddress string    `json:"gossipAddress"`
 	At            time.Time `json:"at"`
+	// Incarnation is that of the daemon that wrote the row. The next one takes a
+	// higher one, whatever its clock says.
+	Incarnation uint64 `json:"incarnation"`
 }
 
 // hostRows keeps this host's row and reads those of the others.
@@ -102,15 +105,17 @@
 	now := time.Now()
 	var expired []string
 	if view := members.View(); others(view) == 0 || h.first(view) {
-		var seeds []string
-		var err error
-		if seeds, expired, err = h.read(ctx, now); err != nil {
+		found, err := h.read(ctx, now)
+		if err != nil {
 			return err
 		}
-		members.Bootstrap(seeds)
+		members.Outbid(found.incarnation)
+		members.Bootstrap(found.seeds)
+		expired = found.expired
 	}
 	row := h.self
 	row.At = now.UTC()
+	row.Incarnation = h.incarnation(members.View())
 	value, err := json.Marshal(row)
 	if err != nil {
 		return err
@@ -133,23 +138,45 @@
 	return rendezvous.Top(hostPrefix+h.self.Zone, hosts, 1)[0] == h.host
 }
 
-// read returns the gossip addresses of the other hosts and the keys of rows
-// that were not refreshed for a long time. Those are seeds too: after a long
-// outage of the platform every row is old.
-func (h *hostRows) read(ctx context.Context, now time.Time) (seeds, expired []string, err error) {
+// incarnation returns this host's own one.
+func (h *hostRows) incarnation(view []gossip.Member) uint64 {
+	for _, member := range view {
+		if member.Host == h.host {
+			return member.Incarnation
+		}
+	}
+	return 0
+}
+
+// found is what the rows of all hosts tell.
+type found struct {
+	seeds       []string // gossip addresses of the other hosts
+	expired     []string // keys of rows that were not refreshed for a long time
+	incarnation uint64   // of this host's earlier start, 0 if there is none
+}
+
+// read reads the rows of all hosts. Expired ones are seeds too: after a long outage
+// of the platform every row is old.
+func (h *hostRows) read(ctx context.Context, now time.Time) (found, error) {
 	rows, err := h.backing.Scan(ctx, hostPrefix, "", hostScanLimit)
 	if err != nil {
-		return nil, nil, err
+		return found{}, err
 	}
+	var all found
 	for _, row := range rows {
 		var host hostRow
-		if row.Key == h.key || json.Unmarshal(row.Value, &host) != nil {
+		if err := json.Unmarshal(row.Value, &host); err != nil {
+			h.logger.Warn("host row ignored", zap.String("key", row.Key), zap.Error(err))
+			continue
+		}
+		if row.Key == h.key {
+			all.incarnation = host.Incarnation
 			continue
 		}
-		seeds = append(seeds, host.GossipAddress)
+		all.seeds = append(all.seeds, host.GossipAddress)
 		if now.Sub(host.At) > hostExpiry {
-			expired = append(expired, row.Key)
+			all.expired = append(all.expired, row.Key)
 		}
 	}
-	return seeds, expired, nil
+	return all, nil
 }
--- a/mesh/membership/membership.go
+++ b/mesh/membership/membership.go
@@ -136,6 +136,11 @@
 	})
 }
 
+// Outbid raises this host's incarnation above that of an earlier start.
+func (m *Membership) Outbid(incarnation uint64) {
+	m.step(func(now time.Time) gossip.Output { return m.node.Outbid(now, incarnation) })
+}
+
 // Publish spreads a notice within the availability zone. This host's own
 // callbacks are not called.
 func (m *Membership) Publish(notice gossip.Notice) {
