Apply the limits that a configuration sets for callers

Cause: the operators' limits on headers, bodies and the time for both were decoded and ignored; only the settings' own bounds held (10 s for a header, 2 minutes of idleness where operators wrote 3 s and 15 s). Ruled out: changing the fields of a running http.Server, which is a data race; a new server for each change, which would drain connections for a number. The entry refuses a larger header (431) or body (413), and ends connections that wait for a request or take for a header longer than allowed; a request that is read in the last moment is served. The lower of the settings' bound and the configuration's holds.

--- a/coord/revision/check.go
+++ b/coord/revision/check.go
@@ -22,6 +22,8 @@
 			problems = append(problems, s.checkRoute(entry.Route, prefixes)...)
 		case entry.Split != nil:
 			problems = append(problems, s.checkSplit(entry.Split)...)
+		case entry.Limits != nil:
+			problems = append(problems, checkLimits(entry.Limits)...)
 		}
 	}
 	return problems
@@ -44,6 +46,24 @@
 	return problems
 }
 
+func checkLimits(limits *CallerLimits) []error {
+	var problems []error
+	for _, limit := range []struct {
+		name     string
+		negative bool
+	}{
+		{"maxHeaderBytes", limits.MaxHeaderBytes < 0},
+		{"maxBodyBytes", limits.MaxBodyBytes < 0},
+		{"headerTimeout", limits.HeaderTimeout < 0},
+		{"idleTimeout", limits.IdleTimeout < 0},
+	} {
+		if limit.negative {
+			problems = append(problems, fmt.Errorf("limits/%s: %s is negative", callersName, limit.name))
+		}
+	}
+	return problems
+}
+
 func (s *Snapshot) checkVersion(version *Version) []error {
 	if _, ok := s.Service(version.Service); !ok {
 		return []error{fmt.Errorf("version/%s/%s: service %q does not exist", version.Service, version.Name, version.Service)}
--- a/coord/revision/resource.go
+++ b/coord/revision/resource.go
@@ -45,6 +45,7 @@
 	KindVersion Kind = "version"
 	KindRoute   Kind = "route"
 	KindSplit   Kind = "split"
+	KindLimits  Kind = "limits"
 )
 
 // Ref identifies a resource. The name of a version is "service/version".
@@ -200,12 +201,27 @@
 	return 0
 }
 
+// callersName is the name of the only resource of KindLimits.
+const callersName = "callers"
+
+// CallerLimits bound what a caller may send, and how long it may take or stay idle.
+// A limit of 0 leaves the bound to the daemon's own settings.
+type CallerLimits struct {
+	MaxHeaderBytes int      `json:"maxHeaderBytes,omitempty"`
+	MaxBodyBytes   int64    `json:"maxBodyBytes,omitempty"`
+	HeaderTimeout  Duration `json:"headerTimeout,omitempty"`
+	// IdleTimeout bounds the wait for the next request of a connection.
+	IdleTimeout Duration `json:"idleTimeout,omitempty"`
+}
+
 // Resource is the whole state of one resource; exactly one field is set.
 type Resource struct {
 	Service *Service `json:"service,omitempty"`
 	Version *Version `json:"version,omitempty"`
 	Route   *Route   `json:"route,omitempty"`
 	Split   *Split   `json:"split,omitempty"`
+	// Limits bound all callers.
+	Limits *CallerLimits `json:"limits,omitempty"`
 }
 
 // Ref returns the identity of the resource, or the zero Ref if none is set.
@@ -219,6 +235,8 @@
 		return Ref{KindRoute, r.Route.Name}
 	case r.Split != nil:
 		return Ref{KindSplit, r.Split.Service}
+	case r.Limits != nil:
+		return Ref{KindLimits, callersName}
 	}
 	return Ref{}
 }
--- a/coord/revision/snapshot.go
+++ b/coord/revision/snapshot.go
@@ -86,6 +86,14 @@
 	return entry.Split, ok
 }
 
+// CallerLimits returns the limits of callers; they are 0 if none are set.
+func (s *Snapshot) CallerLimits() CallerLimits {
+	if entry, ok := s.entries[Ref{KindLimits, callersName}]; ok {
+		return *entry.Limits
+	}
+	return CallerLimits{}
+}
+
 // Moving returns the splits of the services with a running move, by name.
 func (s *Snapshot) Moving() []*Split { return s.moving }
 
--- a/mesh/entry/admit.go
+++ b/mesh/entry/admit.go
@@ -31,7 +31,7 @@
 	if overLimit(c.request.Context()) {
 		return refused(ReasonLimit, stepAdmit, "too many connections to this daemon").at(c.entry.self.Host)
 	}
-	steps := []func() *failure{c.admitRoute, c.admitHops, c.admitDeadline, c.admitBody}
+	steps := []func() *failure{c.admitRoute, c.admitHeader, c.admitHops, c.admitDeadline, c.admitBody}
 	for _, step := range steps {
 		if failed := step(); failed != nil {
 			return failed
@@ -57,6 +57,38 @@
 	return nil
 }
 
+// admitHeader holds the header to the limit of the configuration. That of the
+// settings is net/http's.
+func (c *call) admitHeader() *failure {
+	limit := c.snapshot.CallerLimits().MaxHeaderBytes
+	if limit > 0 && headerBytes(c.request) > limit {
+		return refused(ReasonHeaderTooLarge, stepAdmit, "the header is above the limit")
+	}
+	return nil
+}
+
+// headerBytes returns the size of a request's header fields.
+func headerBytes(request *http.Request) int {
+	const separators = len(": \r\n")
+	size := len("Host") + len(request.Host) + separators
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
+// maxBody returns the limit of a body: the lower one of the settings' and the
+// configuration's.
+func (c *call) maxBody() int64 {
+	limit := c.entry.settings.MaxBodyBytes
+	if configured := c.snapshot.CallerLimits().MaxBodyBytes; configured > 0 {
+		limit = min(limit, configured)
+	}
+	return limit
+}
+
 // pickService draws one of the route's services by weight.
 func (e *Entry) pickService(route *revision.Route) string {
 	if len(route.Split) == 0 {
@@ -131,7 +163,7 @@
 }
 
 func (c *call) admitBody() *failure {
-	if c.request.ContentLength > c.entry.settings.MaxBodyBytes {
+	if c.request.ContentLength > c.maxBody() {
 		return refused(ReasonBodyTooLarge, stepBody, "the body is above the limit")
 	}
 	if c.route.Repeat == revision.RepeatKeyed {
--- a/mesh/entry/body.go
+++ b/mesh/entry/body.go
@@ -50,10 +50,10 @@
 	return nil
 }
 
-// limitBody bounds the body by the settings' size and by the call's deadline,
+// limitBody bounds the body by its size and by the call's deadline,
 // which net/http lifts again at the body's end.
 func (c *call) limitBody() {
-	c.request.Body = http.MaxBytesReader(c.writer, c.request.Body, c.entry.settings.MaxBodyBytes)
+	c.request.Body = http.MaxBytesReader(c.writer, c.request.Body, c.maxBody())
 	c.control = http.NewResponseController(c.writer)
 	_ = c.control.SetReadDeadline(c.deadline)
 }
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -146,6 +146,14 @@
 	c.serve()
 }
 
+// limits returns the limits of the configuration in force.
+func (e *Entry) limits() revision.CallerLimits {
+	if snapshot := e.deps.Configuration.Snapshot(); snapshot != nil {
+		return snapshot.CallerLimits()
+	}
+	return revision.CallerLimits{}
+}
+
 // now returns the monotonic time since the entry's start. It is never 0.
 func (e *Entry) now() time.Duration { return time.Since(e.start) + 1 }
 
--- a/mesh/entry/reason.go
+++ b/mesh/entry/reason.go
@@ -23,10 +23,12 @@
 	ReasonNoRoute       Reason = "no-route"
 	ReasonBadRequest    Reason = "bad-request"
 	ReasonBodyTooLarge  Reason = "body-too-large"
-	ReasonLoop          Reason = "loop"
-	ReasonKeyMissing    Reason = "key-missing"
-	ReasonKeyReused     Reason = "key-reused"
-	ReasonUnspecified   Reason = "unspecified"
+	// ReasonHeaderTooLarge means that the header is above the configuration's limit.
+	ReasonHeaderTooLarge Reason = "header-too-large"
+	ReasonLoop           Reason = "loop"
+	ReasonKeyMissing     Reason = "key-missing"
+	ReasonKeyReused      Reason = "key-reused"
+	ReasonUnspecified    Reason = "unspecified"
 )
 
 // The reasons for which it is not known whether a request ran.
@@ -82,6 +84,8 @@
 		return http.StatusBadRequest
 	case ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case ReasonHeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case ReasonLimit:
 		return http.StatusTooManyRequests
 	case ReasonLoop:
--- a/mesh/entry/server.go
+++ b/mesh/entry/server.go
@@ -15,16 +15,18 @@
 )
 
 const (
-	// headerTimeout bounds the arrival of a request's header.
+	// headerTimeout bounds the arrival of a request's header, idleTimeout the wait for
+	// the next request of a connection, where the configuration sets no lower limits.
 	headerTimeout = 10 * time.Second
-	// idleTimeout bounds the wait for the next request of a connection.
-	idleTimeout = 2 * time.Minute
+	idleTimeout   = 2 * time.Minute
 	// lameDuck is the longest that a stopping server refuses requests before it
 	// closes connections that are idle.
 	lameDuck = 500 * time.Millisecond
 	// connectionCheck is the interval at which a stopping server looks whether
 	// its connections are gone.
 	connectionCheck = 10 * time.Millisecond
+	// sweepInterval is the time between two looks for connections beyond the limits.
+	sweepInterval = 250 * time.Millisecond
 	// refusedShare is the part of MaxConnections, one in so many, that is
 	// accepted beyond the limit only to be refused with an answer.
 	refusedShare = 10
@@ -41,17 +43,14 @@
 	// serveTime is how long a stopping server goes on to serve new requests.
 	serveTime atomic.Int64 // nanoseconds
 
-	mu sync.Mutex
-	// unused are the connections on which no byte arrived yet.
-	unused   map[net.Conn]struct{}
-	stopping bool
+	waiting *waitingConns
 }
 
 // NewServer returns a server for the entry. Connections beyond
 // settings.MaxConnections are answered with a refusal and closed; a further
 // tenth beyond that is closed without one.
 func NewServer(settings settings.Entry, entry *Entry, log *zap.Logger) *Server {
-	server := &Server{entry: entry, limit: int64(settings.MaxConnections), lameDuck: lameDuck, unused: make(map[net.Conn]struct{})}
+	server := &Server{entry: entry, limit: int64(settings.MaxConnections), lameDuck: lameDuck, waiting: newWaitingConns()}
 	server.SetLameDuck(settings.LameDuck.Std())
 	server.http = &http.Server{
 		Handler:           entry,
@@ -60,7 +59,7 @@
 		IdleTimeout:       idleTimeout,
 		WriteTimeout:      maxTimeout + headerTimeout,
 		ConnContext:       server.connContext,
-		ConnState:         server.track,
+		ConnState:         server.waiting.track,
 		ErrorLog:          zap.NewStdLog(log),
 		// Without this net/http would answer OPTIONS * by itself.
 		DisableGeneralOptionsHandler: true,
@@ -73,6 +72,7 @@
 
 // Serve accepts callers until the server is shut down, then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
+	defer s.sweep()()
 	err := s.http.Serve(&limitedListener{Listener: listener, server: s})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -87,35 +87,27 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.entry.Leave()
 	s.awaitNoConnections(ctx)
-	s.closeUnused()
+	s.waiting.closeUnused()
 	return s.http.Shutdown(ctx)
 }
 
-// track notes which connections were not used yet.
-func (s *Server) track(conn net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state != http.StateNew {
-		delete(s.unused, conn)
-		return
-	}
-	if s.stopping {
-		_ = conn.Close()
-		return
-	}
-	s.unused[conn] = struct{}{}
-}
-
-// closeUnused closes the connections that were never used, and those that are still
-// to come. The shutdown of net/http would wait for each for five seconds and more,
-// longer than a stop may take.
-func (s *Server) closeUnused() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopping = true
-	for conn := range s.unused {
-		_ = conn.Close()
-	}
+// sweep ends connections beyond the limits of the configuration in force, until the
+// function that it returns is called.
+func (s *Server) sweep() (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(sweepInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case now := <-ticker.C:
+				s.waiting.expire(now, s.entry.limits())
+			}
+		}
+	}()
+	return func() { close(done) }
 }
 
 // ServeOn serves new requests for the time that callers take to learn that this
@@ -208,6 +200,18 @@
 	overLimit bool // accepted only to be refused
 	once      sync.Once
 	closed    func()
+	// header is when the first byte of a header arrived, in Unix nanoseconds; 0 while
+	// the connection waits for a request.
+	header atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.header.Load() == 0 {
+		c.header.Store(time.Now().UnixNano())
+	}
+	return n, err
 }
 
 // Close implements net.Conn.
--- /dev/null
+++ b/mesh/entry/waiting.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"sassafrasnotch.example/coord/revision"
+)
+
+// waitingConns are the connections of callers that wait for a request or read the
+// header of one. The limits on both change with the configuration, which those of a
+// running http.Server can't.
+type waitingConns struct {
+	mu       sync.Mutex
+	conns    map[net.Conn]*waitingConn
+	stopping bool
+}
+
+type waitingConn struct {
+	since   time.Time
+	used    bool // for a request before
+	expired bool
+}
+
+func newWaitingConns() *waitingConns {
+	return &waitingConns{conns: make(map[net.Conn]*waitingConn)}
+}
+
+// track is a hook of http.Server.
+func (w *waitingConns) track(conn net.Conn, state http.ConnState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if state != http.StateNew && state != http.StateIdle {
+		if waiting := w.conns[conn]; waiting != nil && waiting.expired && state == http.StateActive {
+			_ = conn.SetReadDeadline(time.Time{}) // the request was read in the last moment
+		}
+		delete(w.conns, conn)
+		return
+	}
+	if state == http.StateNew && w.stopping {
+		_ = conn.Close()
+		return
+	}
+	if counted, ok := conn.(*countedConn); ok {
+		counted.header.Store(0)
+	}
+	w.conns[conn] = &waitingConn{since: time.Now(), used: state == http.StateIdle}
+}
+
+// expire ends the connections that waited, or took for a header, longer than the
+// limits allow. http.Server closes a connection whose read ran into its deadline.
+func (w *waitingConns) expire(now time.Time, limits revision.CallerLimits) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for conn, waiting := range w.conns {
+		since, limit := waiting.since, limits.IdleTimeout.Std()
+		if counted, ok := conn.(*countedConn); ok {
+			if began := counted.header.Load(); began != 0 {
+				since, limit = time.Unix(0, began), limits.HeaderTimeout.Std()
+			}
+		}
+		if limit > 0 && now.Sub(since) > limit {
+			waiting.expired = true
+			_ = conn.SetReadDeadline(longAgo)
+		}
+	}
+}
+
+// closeUnused closes the connections that were never used, and those that are still
+// to come. The shutdown of net/http would wait for each for five seconds and more,
+// longer than a stop may take.
+func (w *waitingConns) closeUnused() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopping = true
+	for conn, waiting := range w.conns {
+		if !waiting.used {
+			_ = conn.Close()
+		}
+	}
+}
--- /dev/null
+++ b/mesh/entry/waiting_test.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasnotch.example/coord/revision"
+)
+
+// limitedWorld is a world whose configuration limits its callers.
+func limitedWorld(t *testing.T, limits revision.CallerLimits) *world {
+	t.Helper()
+	w := newWorld(t, testSettings(), nil, oneOf(answers(200, ""), nil))
+	w.configuration.Store(put(t, w.configuration.Load(), revision.Resource{Limits: &limits}))
+	return w
+}
+
+// ended waits until the daemon closes the connection and returns when, and what came
+// before.
+func ended(t *testing.T, conn net.Conn) (at time.Time, told string) {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	data, err := io.ReadAll(conn)
+	if err != nil {
+		t.Fatalf("the connection was not closed in order: %v", err)
+	}
+	return time.Now(), string(data)
+}
+
+// requestOn sends a request on the connection and reads its answer.
+func requestOn(t *testing.T, conn net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	_, err := io.WriteString(conn, "GET /order HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.NoErr(err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, answer.Body)
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, 200)
+}
+
+func TestIdleConnectionsAreEndedAtTheLimit(t *testing.T) {
+	const limit = 600 * time.Millisecond
+	is := is.New(t)
+	w := limitedWorld(t, revision.CallerLimits{IdleTimeout: revision.Duration(limit)})
+	conn := dial(t, w)
+	for range 3 { // a connection in use stays open for longer than the limit
+		time.Sleep(limit * 4 / 5)
+		requestOn(t, conn)
+	}
+	idle := time.Now()
+	at, told := ended(t, conn)
+	is.True(at.Sub(idle) >= limit)
+	is.Equal(told, "")
+
+	// A configuration without the limit holds for the connections that are open.
+	other := dial(t, w)
+	requestOn(t, other)
+	w.configuration.Store(put(t, w.configuration.Load(), revision.Resource{Limits: &revision.CallerLimits{}}))
+	time.Sleep(limit + 2*sweepInterval)
+	requestOn(t, other)
+}
+
+func TestSlowHeadersAreEndedAtTheLimit(t *testing.T) {
+	const limit = 400 * time.Millisecond
+	is := is.New(t)
+	w := limitedWorld(t, revision.CallerLimits{HeaderTimeout: revision.Duration(limit)})
+	conn := dial(t, w)
+	time.Sleep(2 * limit) // without a byte it is idle, for which there is no limit
+	requestOn(t, conn)
+	_, err := io.WriteString(conn, "GET /order HTTP/1.1\r\nHost")
+	is.NoErr(err)
+	began := time.Now()
+	at, told := ended(t, conn)
+	is.True(at.Sub(began) >= limit*9/10) // the first byte came before
+	is.True(strings.HasPrefix(told, "HTTP/1.1 4"))
+	is.Equal(w.hosts.runs(), 1)
+}
+
+// A request that was read as its connection expired is served all the same.
+func TestRequestInTheLastMomentIsServed(t *testing.T) {
+	is := is.New(t)
+	waiting := newWaitingConns()
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	waiting.track(near, http.StateIdle)
+	waiting.expire(time.Now().Add(time.Minute), revision.CallerLimits{IdleTimeout: revision.Duration(time.Second)})
+	waiting.track(near, http.StateActive)
+	go func() { _, _ = far.Write([]byte("x")) }()
+	_, err := near.Read(make([]byte, 1))
+	is.NoErr(err)
+}
+
+func TestLimitsOfTheConfiguration(t *testing.T) {
+	w := limitedWorld(t, revision.CallerLimits{MaxHeaderBytes: 600, MaxBodyBytes: 1000})
+	for _, c := range []struct {
+		name         string
+		header, body int
+		status, runs int
+	}{
+		{"within", 400, 1000, 200, 1},
+		{"header above", 600, 0, http.StatusRequestHeaderFieldsTooLarge, 0},
+		{"body above", 0, 1001, http.StatusRequestEntityTooLarge, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			before := w.hosts.runs()
+			request, err := http.NewRequest(http.MethodPost, w.url+"/order", strings.NewReader(strings.Repeat("x", c.body)))
+			is.NoErr(err)
+			request.Header.Set("X-Wish", strings.Repeat("x", c.header))
+			response, err := w.client.Do(request)
+			is.NoErr(err)
+			response.Body.Close()
+			is.Equal(response.StatusCode, c.status)
+			is.Equal(w.hosts.runs()-before, c.runs)
+		})
+	}
+}
--- a/mesh/source/rows.go
+++ b/mesh/source/rows.go
@@ -46,6 +46,8 @@
 	Written  uint64             `json:"written"`
 	Services []revision.Service `json:"services"`
 	Routes   []revision.Route   `json:"routes"`
+	// Limits bound what callers may send.
+	Limits revision.CallerLimits `json:"limits,omitzero"`
 }
 
 // Order is the order to move a service's traffic to a version.
--- a/mesh/source/view.go
+++ b/mesh/source/view.go
@@ -105,7 +105,7 @@
 		return nil, nil
 	}
 	newest := v.configuration.Written
-	var resources []revision.Resource
+	resources := []revision.Resource{{Limits: &v.configuration.Limits}}
 	for i := range v.configuration.Services {
 		service := &v.configuration.Services[i]
 		split, written := v.split(service.Name)
