--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -31,10 +31,25 @@
 	return b
 }
 
-// SetLimits changes the limits.
+// NewEmptyBudget returns a budget that calls have yet to fill. It is for a process
+// that shares the reserve with others: one that restarts again and again must not
+// bring a full reserve each time.
+func NewEmptyBudget(limits Limits) *Budget {
+	b := NewBudget(limits)
+	b.spent.Store(b.reserve.Load())
+	return b
+}
+
+// SetLimits changes the limits. An empty budget stays empty.
 func (b *Budget) SetLimits(limits Limits) {
 	b.share.Store(int64(limits.Share * tokenUnit))
 	b.reserve.Store(int64(limits.Reserve) * tokenUnit)
+	for {
+		spent := b.spent.Load()
+		if spent <= b.reserve.Load() || b.spent.CompareAndSwap(spent, b.reserve.Load()) {
+			return
+		}
+	}
 }
 
 // Call adds a call's share to the budget.
--- a/coord/retry/retry_test.go
+++ b/coord/retry/retry_test.go
@@ -90,3 +90,46 @@
 	is.True(float64(attempts)/calls < 1.2)
 	is.True(float64(attempts)/calls > 1.09) // the budget is used
 }
+
+// Processes that share a reserve and restart again and again retry no more than the
+// reserve and the share of all calls allow. A process that has just started knows no
+// other one, and takes the whole reserve for its own until it does.
+func TestRestartsBringNoReserve(t *testing.T) {
+	is := is.New(t)
+	const processes, restarts, calls, reserve = 11, 6, 5, 60
+	retries := 0
+	for range processes * restarts {
+		budget := NewEmptyBudget(Limits{Share: 0.1, Reserve: reserve})
+		for range calls {
+			budget.Call()
+			for budget.Take() {
+				retries++
+			}
+		}
+		budget.SetLimits(Limits{Share: 0.1, Reserve: reserve / processes})
+		for budget.Take() {
+			retries++
+		}
+	}
+	is.True(retries <= processes*restarts*calls/10+reserve)
+}
+
+// An empty budget fills with calls up to its reserve, which may change meanwhile.
+func TestEmptyBudgetFills(t *testing.T) {
+	is := is.New(t)
+	budget := NewEmptyBudget(Limits{Share: 0.1, Reserve: 60})
+	is.True(!budget.Take())
+	budget.SetLimits(Limits{Share: 0.1, Reserve: 5})
+	for range 10 {
+		budget.Call()
+	}
+	is.True(budget.Take())
+	is.True(!budget.Take())
+	for range 1000 {
+		budget.Call()
+	}
+	for range 5 {
+		is.True(budget.Take())
+	}
+	is.True(!budget.Take())
+}
--- a/mesh/entry/routing.go
+++ b/mesh/entry/routing.go
@@ -88,6 +88,15 @@
 	return limits
 }
 
+// newBudget returns the budget of a service's retries. One that is shared with other
+// daemons begins empty. The caller holds building.
+func (r *routing) newBudget() *retry.Budget {
+	if r.budget.FleetReserve > 0 {
+		return retry.NewEmptyBudget(r.limits())
+	}
+	return retry.NewBudget(r.limits())
+}
+
 func (r *routing) setTripped(service, version string, ticket uint64) {
 	r.building.Lock()
 	defer r.building.Unlock()
@@ -143,7 +152,7 @@
 		trip:     (*r.trips.Load())[split.Service],
 	}
 	input := balance.Input{Split: split, Index: next.index, Tripped: next.trip.covers(split.Move)}
-	next.budget = retry.NewBudget(r.limits())
+	next.budget = r.newBudget()
 	if current != nil {
 		input.Previous = current.Plan
 		next.budget = current.budget
