Serve reasons, attempts, queues, retry budgets and failures of the store as metrics

Cause: the metrics told calls by outcome only. Why calls were refused, how often they were sent again, how long they waited for a slot and how much of the retry budget is left stood in the logs alone, which are sampled under load. Change: counters of unserved calls and of attempts by reason, a histogram of waits for a slot, gauges of queued calls, of retries left and of the configuration's age, counters of failed operations at the platform. One telemetry type observes calls and attempts.

--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -52,6 +52,11 @@
 	}
 }
 
+// Left returns the retries that the budget holds.
+func (b *Budget) Left() float64 {
+	return float64(max(b.reserve.Load()-b.spent.Load(), 0)) / tokenUnit
+}
+
 // Call adds a call's share to the budget.
 func (b *Budget) Call() {
 	for {
--- a/mesh/adapter/adapter.go
+++ b/mesh/adapter/adapter.go
@@ -35,6 +35,8 @@
 type Usage interface {
 	// Operations returns the started reads and writes.
 	Operations() (reads, writes uint64)
+	// Failures returns those that brought no answer, or one of failure.
+	Failures() (reads, writes uint64)
 	// Bytes returns the bytes sent and received, headers included.
 	Bytes() (sent, received uint64)
 }
--- a/mesh/admin/api.go
+++ b/mesh/admin/api.go
@@ -84,6 +84,9 @@
 	State       string `json:"state"`
 	Slots       int    `json:"slots"`
 	Outstanding int    `json:"outstanding"`
+	// Queued counts the calls that wait for a slot. Only the target's own host
+	// knows it.
+	Queued int `json:"queued,omitempty"`
 }
 
 // MemberStatus is one daemon as the answering daemon sees it.
--- a/mesh/daemon/metrics.go
+++ b/mesh/daemon/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -18,8 +19,12 @@
 	viewer   *viewer
 	platform adapter.Usage
 	server   *entry.Server
+	entry    *entry.Entry
 	log      *telemetry.Log
 
+	age, retriesLeft               metric.Float64ObservableGauge
+	queued                         metric.Int64ObservableGauge
+	platformFailures               metric.Int64ObservableCounter
 	applied, head, reachable       metric.Int64ObservableGauge
 	members, targets, outstanding  metric.Int64ObservableGauge
 	moves, connections             metric.Int64ObservableGauge
@@ -28,9 +33,9 @@
 }
 
 // registerMetrics creates the daemon's metrics. docs/METRICS.md lists them.
-func registerMetrics(m *telemetry.Metrics, v *viewer, a adapter.Adapter, server *entry.Server, log *telemetry.Log) error {
+func registerMetrics(m *telemetry.Metrics, v *viewer, a adapter.Adapter, server *entry.Server, e *entry.Entry, log *telemetry.Log) error {
 	meter := m.Meter("daemon")
-	g := &gauges{viewer: v, platform: a.Usage, server: server, log: log}
+	g := &gauges{viewer: v, platform: a.Usage, server: server, entry: e, log: log}
 	var failed error
 	gauge := func(name, description string) metric.Int64ObservableGauge {
 		instrument, err := meter.Int64ObservableGauge(name, metric.WithDescription(description))
@@ -46,6 +51,17 @@
 		}
 		return instrument
 	}
+	amount := func(name, unit, description string) metric.Float64ObservableGauge {
+		instrument, err := meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(description))
+		if err != nil {
+			failed = err
+		}
+		return instrument
+	}
+	g.age = amount("sassafras_configuration_age", "s", "Time since the configuration in force was applied")
+	g.retriesLeft = amount("sassafras_retries_left", "{retry}", "Retries that the budget of a service holds")
+	g.queued = gauge("sassafras_target_queued", "Requests that wait for a slot of targets on this host")
+	g.platformFailures = counter("sassafras_platform_failures", "{request}", "Operations at the platform that failed, by kind")
 	g.applied = gauge("sassafras_revision_applied", "Configuration revision in force")
 	g.head = gauge("sassafras_revision_head", "Newest configuration revision known to exist")
 	g.reachable = gauge("sassafras_platform_reachable", "1 if the last exchange with the platform worked, else 0")
@@ -60,7 +76,7 @@
 	if failed != nil {
 		return failed
 	}
-	_, err := meter.RegisterCallback(g.observe, g.applied, g.head, g.reachable, g.members, g.targets,
+	_, err := meter.RegisterCallback(g.observe, g.age, g.retriesLeft, g.queued, g.platformFailures, g.applied, g.head, g.reachable, g.members, g.targets,
 		g.outstanding, g.moves, g.connections, g.controlBytes, g.platformRequests, g.droppedLines)
 	return err
 }
@@ -80,6 +96,15 @@
 	reads, writes := g.platform.Operations()
 	o.ObserveInt64(g.platformRequests, int64(reads), label("kind", "read"))
 	o.ObserveInt64(g.platformRequests, int64(writes), label("kind", "write"))
+	reads, writes = g.platform.Failures()
+	o.ObserveInt64(g.platformFailures, int64(reads), label("kind", "read"))
+	o.ObserveInt64(g.platformFailures, int64(writes), label("kind", "write"))
+	if !status.AppliedAt.IsZero() {
+		o.ObserveFloat64(g.age, time.Since(status.AppliedAt).Seconds())
+	}
+	for service, left := range g.entry.RetriesLeft() {
+		o.ObserveFloat64(g.retriesLeft, left, label(telemetry.FieldService, service))
+	}
 	o.ObserveInt64(g.droppedLines, int64(g.log.Dropped()))
 	return nil
 }
@@ -113,7 +138,7 @@
 
 func (g *gauges) observeTargets(o metric.Observer, status admin.Status) {
 	counts := make(map[targetKey]int64)
-	outstanding := make(map[targetKey]int64)
+	outstanding, queued := make(map[targetKey]int64), make(map[targetKey]int64)
 	for _, target := range status.Targets {
 		if target.Host != status.Host {
 			continue
@@ -121,6 +146,7 @@
 		key := targetKey{target.Service, target.Version, target.State}
 		counts[key]++
 		outstanding[key] += int64(target.Outstanding)
+		queued[key] += int64(target.Queued)
 	}
 	for key, count := range counts {
 		labels := []metric.ObserveOption{
@@ -130,5 +156,6 @@
 		}
 		o.ObserveInt64(g.targets, count, labels...)
 		o.ObserveInt64(g.outstanding, outstanding[key], labels...)
+		o.ObserveInt64(g.queued, queued[key], labels...)
 	}
 }
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -118,6 +118,15 @@
 	e.routing.setBudget(budget)
 }
 
+// RetriesLeft returns the retries that the budget of each called service holds.
+func (e *Entry) RetriesLeft() map[string]float64 {
+	left := make(map[string]float64)
+	for service, plan := range *e.routing.plans.Load() {
+		left[service] = plan.budget.Left()
+	}
+	return left
+}
+
 // Close makes the entry end every caller's connection with its next answer.
 func (e *Entry) Close() { e.closing.Store(true) }
 
--- a/mesh/entry/observer.go
+++ b/mesh/entry/observer.go
@@ -42,6 +42,8 @@
 	// Version is the version that answered; it is empty if none did.
 	Version string
 	Outcome retry.Outcome
+	// Reason is set if no target answered.
+	Reason Reason
 	// Status is the HTTP status of the answer.
 	Status int
 	// Cut means that the answer broke off after its head.
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -106,7 +106,7 @@
 
 // tell answers the caller with a failure.
 func (c *call) tell(failed *failure) {
-	c.told = Told{Outcome: failed.outcome, Status: failed.reason.status()}
+	c.told = Told{Outcome: failed.outcome, Reason: failed.reason, Status: failed.reason.status()}
 	header := c.writer.Header()
 	header.Set(HeaderOutcome, failed.outcome.String())
 	header.Set(c.entry.deps.Conventions.RequestID, c.requestID)
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -24,12 +24,21 @@
 		return &refusal{reason: peerpb.RefusalReason_REFUSAL_REASON_LIMIT, detail: c.malformed.Error()}
 	}
 	decision, refused := c.exit.arrive(c)
-	if refused != nil || decision == nil {
+	if refused != nil {
 		return refused
 	}
+	if decision == nil {
+		c.exit.waited(c.head.Service, 0)
+		return nil
+	}
+	arrived := time.Now()
 	select {
 	case action := <-decision:
-		return c.decided(action)
+		refused := c.decided(action)
+		if refused == nil {
+			c.exit.waited(c.head.Service, time.Since(arrived))
+		}
+		return refused
 	case <-c.ctx.Done():
 		return c.exit.cancelWait(c, decision)
 	}
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -256,6 +256,7 @@
 	defer e.mu.Unlock()
 	status := make([]admin.TargetStatus, 0, len(e.targets))
 	for _, t := range e.sorted() {
+		load := t.admission.Load(now)
 		status = append(status, admin.TargetStatus{
 			Host:        e.self.Host,
 			Zone:        e.self.Zone,
@@ -263,7 +264,8 @@
 			Version:     t.Version,
 			State:       string(t.stateAt(now)),
 			Slots:       t.Slots,
-			Outstanding: t.admission.Load(now).Outstanding,
+			Outstanding: load.Outstanding,
+			Queued:      load.Queued,
 		})
 	}
 	return status
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -25,6 +25,7 @@
 	log          *zap.Logger
 	latencyBound func(service, route string) time.Duration
 	conventions  Conventions
+	waited       func(service string, wait time.Duration)
 	outcomes     outcomes
 
 	changes sync.Mutex // serializes OnChange; taken before mu
@@ -59,9 +60,15 @@
 	return func(e *Exit) { e.conventions = c }
 }
 
+// WithQueueObserver sets what is told how long each call waited that got a slot.
+func WithQueueObserver(waited func(service string, wait time.Duration)) Option {
+	return func(e *Exit) { e.waited = waited }
+}
+
 // New returns an Exit without targets.
 func New(s settings.Exit, self peer.Identity, log *zap.Logger, opts ...Option) *Exit {
 	e := &Exit{
+		waited:       func(string, time.Duration) {},
 		settings:     s,
 		self:         self,
 		log:          log,
--- a/mesh/telemetry/calls.go
+++ b/mesh/telemetry/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -11,47 +12,92 @@
 	"sassafrasnotch.example/mesh/entry"
 )
 
-// callBuckets are the bounds of the call duration histogram, in seconds.
+// callBuckets are the bounds of the histograms of calls, in seconds.
 var callBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10}
 
-// callKey is what calls are counted by.
+// callKey is what calls and attempts are counted by.
 type callKey struct {
 	service string
 	outcome retry.Outcome
+	reason  entry.Reason
 }
 
-// CallMetrics records the duration of calls by service and outcome. It is an
-// entry.CallObserver and safe for concurrent use.
+// CallMetrics records calls, attempts and waits in queues. It is an
+// entry.CallObserver and an entry.Observer, and safe for concurrent use.
 type CallMetrics struct {
-	duration metric.Float64Histogram
-	options  sync.Map // callKey to metric.RecordOption
-	next     entry.CallObserver
+	duration metric.Float64Histogram // of calls, by service and outcome
+	unserved metric.Int64Counter     // calls without an answer, by reason too
+	attempts metric.Int64Counter     // by service, outcome and reason
+	queued   metric.Float64Histogram // by service
+
+	sets  sync.Map // callKey to attribute.Set
+	calls entry.CallObserver
+	next  entry.Observer
 }
 
-// NewCallMetrics returns an observer that also tells the next one.
-func NewCallMetrics(m *Metrics, next entry.CallObserver) (*CallMetrics, error) {
-	duration, err := m.Meter("entry").Float64Histogram("sassafras_call_duration",
-		metric.WithUnit("s"),
-		metric.WithDescription("Time from a caller's request to the end of its answer"),
-		metric.WithExplicitBucketBoundaries(callBuckets...))
-	if err != nil {
-		return nil, err
+// NewCallMetrics returns observers that also tell those given.
+func NewCallMetrics(m *Metrics, calls entry.CallObserver, attempts entry.Observer) (*CallMetrics, error) {
+	c := &CallMetrics{calls: calls, next: attempts}
+	meter := m.Meter("entry")
+	var failed error
+	histogram := func(name, description string) metric.Float64Histogram {
+		instrument, err := meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(description),
+			metric.WithExplicitBucketBoundaries(callBuckets...))
+		if err != nil {
+			failed = err
+		}
+		return instrument
+	}
+	counter := func(name, unit, description string) metric.Int64Counter {
+		instrument, err := meter.Int64Counter(name, metric.WithUnit(unit), metric.WithDescription(description))
+		if err != nil {
+			failed = err
+			return instrument
+		}
+		instrument.Add(context.Background(), 0) // served from the start
+		return instrument
 	}
-	return &CallMetrics{duration: duration, next: next}, nil
+	c.duration = histogram("sassafras_call_duration", "Time from a caller's request to the end of its answer")
+	c.queued = histogram("sassafras_queue_wait", "Time for which a call waited for a slot of a target on this host")
+	c.unserved = counter("sassafras_calls_unserved", "{call}", "Calls that no target answered, by reason")
+	c.attempts = counter("sassafras_attempts", "{attempt}", "Attempts at hosts by outcome and reason")
+	return c, failed
 }
 
 // Called implements entry.CallObserver.
 func (c *CallMetrics) Called(told entry.Told) {
-	c.duration.Record(context.Background(), told.Took.Seconds(), c.option(callKey{told.Service, told.Outcome}))
-	c.next.Called(told)
+	c.duration.Record(context.Background(), told.Took.Seconds(),
+		metric.WithAttributeSet(c.set(callKey{service: told.Service, outcome: told.Outcome})))
+	if told.Outcome != retry.Answered {
+		c.unserved.Add(context.Background(), 1, metric.WithAttributeSet(c.set(callKey{told.Service, told.Outcome, told.Reason})))
+	}
+	c.calls.Called(told)
+}
+
+// Attempted implements entry.Observer.
+func (c *CallMetrics) Attempted(attempt entry.Attempt) {
+	c.attempts.Add(context.Background(), 1,
+		metric.WithAttributeSet(c.set(callKey{attempt.Service, attempt.Outcome, attempt.Reason})))
+	c.next.Attempted(attempt)
 }
 
-// option returns the attributes of a key, built once.
-func (c *CallMetrics) option(key callKey) metric.RecordOption {
-	if found, ok := c.options.Load(key); ok {
-		return found.(metric.RecordOption)
+// Queued records how long a call waited at a target on this host.
+func (c *CallMetrics) Queued(service string, wait time.Duration) {
+	set := attribute.NewSet(attribute.String(FieldService, service))
+	c.queued.Record(context.Background(), wait.Seconds(), metric.WithAttributeSet(set))
+}
+
+// set returns the attributes of a key, built once.
+func (c *CallMetrics) set(key callKey) attribute.Set {
+	if found, ok := c.sets.Load(key); ok {
+		return found.(attribute.Set)
+	}
+	attributes := []attribute.KeyValue{
+		attribute.String(FieldService, key.service), attribute.String("outcome", key.outcome.String()),
+	}
+	if key.reason != "" {
+		attributes = append(attributes, attribute.String("reason", string(key.reason)))
 	}
-	set := attribute.NewSet(attribute.String(FieldService, key.service), attribute.String("outcome", key.outcome.String()))
-	found, _ := c.options.LoadOrStore(key, metric.WithAttributeSet(set))
-	return found.(metric.RecordOption)
+	found, _ := c.sets.LoadOrStore(key, attribute.NewSet(attributes...))
+	return found.(attribute.Set)
 }
