--- a/mesh/cmd/sassafrasctl/main.go
+++ b/mesh/cmd/sassafrasctl/main.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sassafrasnotch.example/mesh/ctl"
+	"sassafrasnotch.example/platform/operator"
 )
 
 const (
@@ -31,6 +32,7 @@
 			Key:         os.Getenv("SASSAFRAS_TLS_KEY"),
 			Name:        os.Getenv("SASSAFRAS_TLS_NAME"),
 		},
+		DecodeConfiguration: operator.DecodeConfiguration,
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	status := ctl.Run(ctx, env, os.Args[1:])
--- a/mesh/ctl/check.go
+++ b/mesh/ctl/check.go
@@ -19,6 +19,9 @@
 	contentAuto     content = "auto"
 	contentTicket   content = "ticket"
 	contentSettings content = "settings"
+	// contentConfiguration is the whole state as operators write it to the
+	// platform's store.
+	contentConfiguration content = "configuration"
 )
 
 // check checks a file without a daemon.
@@ -30,27 +33,27 @@
 func newCheck(env *Env) subcommands.Command { return &check{env: env} }
 
 func (*check) Name() string     { return "check" }
-func (*check) Synopsis() string { return "check a settings or ticket file offline" }
+func (*check) Synopsis() string { return "check a settings, ticket or configuration file offline" }
 func (*check) Usage() string {
-	return "sassafrasctl check [-kind auto|ticket|settings] FILE|-\n" +
-		"Lists every problem with its line and exits with 2 if there is one. A ticket may\n" +
-		"still be refused for what the present state holds.\n" +
+	return "sassafrasctl check [-kind auto|ticket|settings|configuration] FILE|-\n" +
+		"Lists every problem and exits with 2 if there is one. A ticket may still be refused\n" +
+		"for what the present state holds, a configuration for a version that is not newer.\n" +
 		"Example: sassafrasctl check daemon.json\n"
 }
 
 func (c *check) SetFlags(f *flag.FlagSet) {
 	f.SetOutput(c.env.Stderr)
 	c.content = contentAuto
-	f.Func("kind", "what the file holds: auto, ticket or settings", c.setContent)
+	f.Func("kind", "what the file holds: auto, ticket, settings or configuration", c.setContent)
 }
 
 func (c *check) setContent(text string) error {
 	switch content(text) {
-	case contentAuto, contentTicket, contentSettings:
+	case contentAuto, contentTicket, contentSettings, contentConfiguration:
 		c.content = content(text)
 		return nil
 	}
-	return errors.New("must be auto, ticket or settings")
+	return errors.New("must be auto, ticket, settings or configuration")
 }
 
 func (c *check) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -88,16 +91,30 @@
 		}
 		return found, file.overdue(c.env.Now())
 	}
+	if found == contentConfiguration {
+		configuration, err := c.env.DecodeConfiguration(data)
+		if err == nil {
+			err = configuration.Check()
+		}
+		if err != nil {
+			err = fmt.Errorf("%s: %w", name, err)
+		}
+		return found, err
+	}
 	_, err := settings.Parse(data)
 	return found, jsonc.InFile(name, err)
 }
 
-// guess tells tickets from settings by the fields that only a ticket has.
+// guess tells tickets and configurations from settings by the fields that only they
+// have.
 func guess(document *jsonc.Document) content {
 	for _, field := range []string{"number", "services", "versions", "routes", "splits", "moves", "delete"} {
 		if document.Has(field) {
 			return contentTicket
 		}
 	}
+	if document.Has("Routes") || document.Has("Services") {
+		return contentConfiguration
+	}
 	return contentSettings
 }
--- a/mesh/ctl/ctl.go
+++ b/mesh/ctl/ctl.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/google/subcommands"
+
+	"sassafrasnotch.example/mesh/source"
 )
 
 // Program is the name under which operators start the command line.
@@ -41,6 +43,9 @@
 	Admin string
 	// TLS holds the defaults of the -tls flags.
 	TLS TLSFiles
+	// DecodeConfiguration reads a configuration as operators write it to the
+	// platform's store.
+	DecodeConfiguration func(data []byte) (source.Configuration, error)
 }
 
 // TLSFiles name what the command line shows to admin ports with TLS and what it
--- a/mesh/ctl/ctl_test.go
+++ b/mesh/ctl/ctl_test.go
@@ -19,6 +19,7 @@
 
 	"sassafrasnotch.example/coord/ticket"
 	"sassafrasnotch.example/mesh/admin"
+	"sassafrasnotch.example/platform/operator"
 )
 
 const goodTicket = `{
@@ -104,7 +105,7 @@
 func runWithin(ctx context.Context, stdin string, args ...string) result {
 	var stdout, stderr bytes.Buffer
 	now := func() time.Time { return time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC) }
-	env := &Env{Stdin: strings.NewReader(stdin), Stdout: &stdout, Stderr: &stderr, Now: now}
+	env := &Env{Stdin: strings.NewReader(stdin), Stdout: &stdout, Stderr: &stderr, Now: now, DecodeConfiguration: operator.DecodeConfiguration}
 	exit := Run(ctx, env, args)
 	return result{exit, stdout.String(), stderr.String()}
 }
@@ -275,6 +276,8 @@
 	const goodSettings = `{"host": "a", "zone": "b", "region": "c", "platform": {"url": "http://127.0.0.1:1"},
 		"entry": {"listen": "127.0.0.1:1"}, "peer": {"listen": "127.0.0.1:2"},
 		"gossip": {"listen": "127.0.0.1:3"}, "admin": {"listen": "127.0.0.1:4"}}`
+	const configuration = `{"Version":"0000000c","Services":[{"Name":"desk"}],"Routes":[
+		{"Name":"r1","Host":"a.example","PathPrefix":"/x/","Kind":"safe","TimeoutMs":800,"Service":"desk","MaxAttempts":2}]}`
 	cases := []struct {
 		name, kind, text string
 		exit             subcommands.ExitStatus
@@ -286,6 +289,12 @@
 		{"ticket as settings", "settings", goodTicket, ExitBadInput, "number: unknown field"},
 		{"bad settings", "auto", `{}`, ExitBadInput, "-:1: host: is required"},
 		{"syntax", "auto", `{"number"`, ExitBadInput, "-:1: "},
+		{"configuration", "auto", configuration, ExitDone, "valid configuration"},
+		{"route to nowhere", "auto", strings.Replace(configuration, `"Service":"desk"`, `"Service":"studio"`, 1), ExitBadInput,
+			`route/r1: service "studio" does not exist`},
+		{"configuration without attempts", "configuration", strings.Replace(configuration, `,"MaxAttempts":2`, "", 1), ExitBadInput,
+			`route "r1": 0 attempts`},
+		{"configuration that is cut", "configuration", configuration[:90], ExitBadInput, "-: unexpected end of JSON"},
 		{"overdue", "auto", strings.Replace(goodTicket, "2030", "2020", 1), ExitBadInput, "-:6: moves[0].by: the deadline 2020-01-01T00:00:00Z has passed"},
 	}
 	for _, c := range cases {
--- a/mesh/source/rows.go
+++ b/mesh/source/rows.go
@@ -50,6 +50,10 @@
 	Limits revision.CallerLimits `json:"limits,omitzero"`
 }
 
+// Check returns an error that names every problem of the configuration, without
+// regard to any other.
+func (c Configuration) Check() error { return newView(0).configure(c) }
+
 // Order is the order to move a service's traffic to a version.
 type Order struct {
 	Service string        `json:"service"`
