Build the attributes of metrics once; look for expired connections once a second

Of what each call costs, the metrics built their options anew. Change: the options are cached by service, outcome and reason; connections beyond the limits of callers are looked for each second in place of four times, which is fine for limits of seconds. Measured: BenchmarkCall (new) 1119 to 880 ns and 7 to 3 allocations a call.

--- a/mesh/entry/server.go
+++ b/mesh/entry/server.go
@@ -26,7 +26,7 @@
 	// its connections are gone.
 	connectionCheck = 10 * time.Millisecond
 	// sweepInterval is the time between two looks for connections beyond the limits.
-	sweepInterval = 250 * time.Millisecond
+	sweepInterval = time.Second
 	// refusedShare is the part of MaxConnections, one in so many, that is
 	// accepted beyond the limit only to be refused with an answer.
 	refusedShare = 10
--- a/mesh/telemetry/calls.go
+++ b/mesh/telemetry/calls.go
@@ -30,9 +30,9 @@
 	attempts metric.Int64Counter     // by service, outcome and reason
 	queued   metric.Float64Histogram // by service
 
-	sets  sync.Map // callKey to attribute.Set
-	calls entry.CallObserver
-	next  entry.Observer
+	options sync.Map // callKey to metric.MeasurementOption
+	calls   entry.CallObserver
+	next    entry.Observer
 }
 
 // NewCallMetrics returns observers that also tell those given.
@@ -66,38 +66,40 @@
 
 // Called implements entry.CallObserver.
 func (c *CallMetrics) Called(told entry.Told) {
-	c.duration.Record(context.Background(), told.Took.Seconds(),
-		metric.WithAttributeSet(c.set(callKey{service: told.Service, outcome: told.Outcome})))
+	c.duration.Record(context.Background(), told.Took.Seconds(), c.option(callKey{service: told.Service, outcome: told.Outcome}))
 	if told.Outcome != retry.Answered {
-		c.unserved.Add(context.Background(), 1, metric.WithAttributeSet(c.set(callKey{told.Service, told.Outcome, told.Reason})))
+		c.unserved.Add(context.Background(), 1, c.option(callKey{told.Service, told.Outcome, told.Reason}))
 	}
 	c.calls.Called(told)
 }
 
 // Attempted implements entry.Observer.
 func (c *CallMetrics) Attempted(attempt entry.Attempt) {
-	c.attempts.Add(context.Background(), 1,
-		metric.WithAttributeSet(c.set(callKey{attempt.Service, attempt.Outcome, attempt.Reason})))
+	c.attempts.Add(context.Background(), 1, c.option(callKey{attempt.Service, attempt.Outcome, attempt.Reason}))
 	c.next.Attempted(attempt)
 }
 
 // Queued records how long a call waited at a target on this host.
 func (c *CallMetrics) Queued(service string, wait time.Duration) {
-	set := attribute.NewSet(attribute.String(FieldService, service))
-	c.queued.Record(context.Background(), wait.Seconds(), metric.WithAttributeSet(set))
+	c.queued.Record(context.Background(), wait.Seconds(), c.option(callKey{service: service, outcome: noOutcome}))
 }
 
-// set returns the attributes of a key, built once.
-func (c *CallMetrics) set(key callKey) attribute.Set {
-	if found, ok := c.sets.Load(key); ok {
-		return found.(attribute.Set)
+// noOutcome is the outcome of what is counted by service alone.
+const noOutcome retry.Outcome = -1
+
+// option returns the attributes of a key. They are built once, as every call needs
+// them.
+func (c *CallMetrics) option(key callKey) metric.MeasurementOption {
+	if found, ok := c.options.Load(key); ok {
+		return found.(metric.MeasurementOption)
 	}
-	attributes := []attribute.KeyValue{
-		attribute.String(FieldService, key.service), attribute.String("outcome", key.outcome.String()),
+	attributes := []attribute.KeyValue{attribute.String(FieldService, key.service)}
+	if key.outcome != noOutcome {
+		attributes = append(attributes, attribute.String("outcome", key.outcome.String()))
 	}
 	if key.reason != "" {
 		attributes = append(attributes, attribute.String("reason", string(key.reason)))
 	}
-	found, _ := c.sets.LoadOrStore(key, attribute.NewSet(attributes...))
-	return found.(attribute.Set)
+	found, _ := c.options.LoadOrStore(key, metric.WithAttributeSet(attribute.NewSet(attributes...)))
+	return found.(metric.MeasurementOption)
 }
--- /dev/null
+++ b/mesh/telemetry/calls_bench_test.go
@@ -0,0 +1,28 @@
+package telemetry
+
+import (
+	"testing"
+	"time"
+
+	"sassafrasnotch.example/coord/retry"
+	"sassafrasnotch.example/mesh/entry"
+)
+
+// BenchmarkCall records what one answered call records at its entry and its exit.
+func BenchmarkCall(b *testing.B) {
+	m, err := NewMetrics()
+	if err != nil {
+		b.Fatal(err)
+	}
+	next := new(told)
+	c, err := NewCallMetrics(m, next, next)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Attempted(entry.Attempt{Service: "desk", Outcome: retry.Answered})
+		c.Queued("desk", 0)
+		c.Called(entry.Told{Service: "desk", Outcome: retry.Answered, Took: time.Millisecond})
+	}
+}
