Replace released claims instead of deleting them

Cause: two claims of one key end with unknown outcome. The late release of the second ended for good when it read the row of the first; the release of the first deleted that row, and the second's delayed write, conditioned on the absence of the row, then took the key for a request that never ran.

Ruled out: retrying the release while another holds the row. It only moves the race to the end of the retries, and does not cover a copy of the claim that a batching host carries out late.

Change: a release writes a row that nobody holds and that lists the released attempts; an attempt in the list is never granted. The wait of 10 s for a late write is gone.

--- a/coord/claim/claim.go
+++ b/coord/claim/claim.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +27,11 @@
 	MaxKeyBytes = 128
 	// MaxBodyBytes bounds the recorded body of a response, in bytes.
 	MaxBodyBytes = 32 << 10
+	// MaxReleased bounds the released attempts that a row remembers.
+	MaxReleased = 16
+	// ExpiredRetention is how long an expired row is kept before it may be deleted. While the row
+	// exists, a write of an earlier attempt that takes effect late still fails its condition.
+	ExpiredRetention = 10 * time.Minute
 )
 
 // ErrCorrupt is returned for the bytes of a row that are not an encoded claim.
@@ -74,15 +80,23 @@
 	Expires     time.Time `json:"expires"`
 	// Outcome is nil until the response is recorded.
 	Outcome *Outcome `json:"outcome,omitempty"`
+	// Released lists the latest attempts that gave up their claim; they certainly were not run and
+	// must not be granted. If Attempt is among them, nobody holds the claim.
+	Released []string `json:"released,omitempty"`
 }
 
-// NewRow returns the row that claims the request's key. It expires TTL after now.
-func NewRow(request *Request, now time.Time) *Row {
-	return &Row{
+// NewRow returns the row that claims the request's key in place of previous, which is nil if there
+// is no row. It expires TTL after now.
+func NewRow(request *Request, previous *Row, now time.Time) *Row {
+	row := &Row{
 		Attempt:     request.Attempt,
 		Fingerprint: request.Fingerprint,
 		Expires:     now.Add(TTL),
 	}
+	if previous != nil {
+		row.Released = previous.Released
+	}
+	return row
 }
 
 // Encode returns the encoded row.
@@ -103,6 +117,36 @@
 // Expired reports whether the claim is no longer valid.
 func (r *Row) Expired(now time.Time) bool { return now.After(r.Expires) }
 
+// Deletable reports whether the row expired at least ExpiredRetention ago.
+func (r *Row) Deletable(now time.Time) bool { return r.Expired(now.Add(-ExpiredRetention)) }
+
+// hasReleased reports whether the attempt gave up its claim.
+func (r *Row) hasReleased(attempt string) bool { return slices.Contains(r.Released, attempt) }
+
+// Release returns the row to store in place of row so that the attempt neither holds the claim nor
+// is granted it later, or nil if the stored row ensures that already. The row is nil if there is
+// none. The attempt must not have been dispatched.
+//
+// Rows are replaced, never deleted: a write of the attempt that is still under way has the version
+// of an earlier row, or the absence of the row, as its condition, which then fails for good.
+func Release(row *Row, request *Request, now time.Time) *Row {
+	if row == nil {
+		return &Row{Attempt: request.Attempt, Fingerprint: request.Fingerprint, Expires: now, Released: []string{request.Attempt}}
+	}
+	if row.Outcome != nil || row.hasReleased(request.Attempt) {
+		return nil
+	}
+	next := *row
+	next.Released = append(slices.Clone(row.Released), request.Attempt)
+	next.Released = next.Released[max(0, len(next.Released)-MaxReleased):]
+	if row.Attempt == request.Attempt {
+		next.Expires = now
+	} else if row.hasReleased(row.Attempt) {
+		next.Attempt = request.Attempt // so that the row stays one that nobody holds
+	}
+	return &next
+}
+
 // Verdict is the decision on an attempt.
 type Verdict int
 
@@ -117,8 +161,10 @@
 	Recorded
 	// Mismatch means that the key was used for a request with another fingerprint.
 	Mismatch
-	// Expired means that the claim is no longer valid and its row may be replaced.
+	// Expired means that the claim is released or no longer valid and its row may be replaced.
 	Expired
+	// Withdrawn means that this attempt was released before. It must not be dispatched.
+	Withdrawn
 )
 
 // Decision is a verdict; Outcome, the recorded response, is set with Recorded only.
@@ -132,9 +178,11 @@
 // the store was lost.
 func Decide(row *Row, request *Request, now time.Time) Decision {
 	switch {
+	case row.hasReleased(request.Attempt):
+		return Decision{Verdict: Withdrawn}
 	case row.Attempt == request.Attempt:
 		return Decision{Verdict: Granted}
-	case row.Expired(now):
+	case row.hasReleased(row.Attempt), row.Expired(now):
 		return Decision{Verdict: Expired}
 	case row.Fingerprint != request.Fingerprint:
 		return Decision{Verdict: Mismatch}
--- a/mesh/claim/claimer.go
+++ b/mesh/claim/claimer.go
@@ -26,8 +26,6 @@
 	local   *tableBackend // writes to the store directly
 	backend backend       // local, or a zoneBackend over it
 	log     *zap.Logger
-	// lateWriteWindow is the constant of that name, except in tests.
-	lateWriteWindow time.Duration
 
 	settling    sync.WaitGroup
 	settleSlots chan struct{}   // semaphore of the records and releases in progress
@@ -43,7 +41,7 @@
 // newClaimer returns a claimer with a batch interval and a clock.
 func newClaimer(table store.Table, log *zap.Logger, interval time.Duration, now func() time.Time) *Claimer {
 	local := &tableBackend{table: table, writer: newWriter(table, interval), now: now}
-	c := &Claimer{local: local, backend: local, log: log, lateWriteWindow: lateWriteWindow, settleSlots: make(chan struct{}, maxSettling)}
+	c := &Claimer{local: local, backend: local, log: log, settleSlots: make(chan struct{}, maxSettling)}
 	c.settleCtx, c.stop = context.WithCancel(context.Background())
 	return c
 }
@@ -59,7 +57,7 @@
 	if !errors.Is(err, store.ErrUnavailable) {
 		// The write may still take effect. Without the release the key would stay claimed for a
 		// request that never ran.
-		c.releaseLate(request)
+		c.Release(request)
 	}
 	return claim.Decision{}, steperr.Wrap(err, "claim", storePeerName)
 }
--- a/mesh/claim/settle.go
+++ b/mesh/claim/settle.go
@@ -17,9 +17,6 @@
 	maxSettling = 1024
 	// settleTimeout bounds the time for which a record or release is retried.
 	settleTimeout = 2 * time.Minute
-	// lateWriteWindow is the time within which a write of unknown outcome is expected to become
-	// visible.
-	lateWriteWindow = 10 * time.Second
 	// minSettleBackoff and maxSettleBackoff bound the backoff between retries.
 	minSettleBackoff = 50 * time.Millisecond
 	maxSettleBackoff = 5 * time.Second
@@ -38,31 +35,15 @@
 	})
 }
 
-// Release deletes the claim of a request that certainly did not run, so that the request can be
+// Release gives up the claim of a request that certainly did not run, so that the request can be
 // sent again. It returns at once. Like Record, it abandons the operation after settleTimeout, or at
 // once if maxSettling claims are being settled already.
 func (c *Claimer) Release(request claim.Request) {
 	c.settle("release claim", request, settleTimeout, func(ctx context.Context) error {
-		return ignoreAbsent(c.backend.release(ctx, &request))
-	})
-}
-
-// releaseLate deletes a claim whose write may still take effect. It therefore retries while there
-// is no row.
-func (c *Claimer) releaseLate(request claim.Request) {
-	c.settle("release claim", request, c.lateWriteWindow, func(ctx context.Context) error {
 		return c.backend.release(ctx, &request)
 	})
 }
 
-// ignoreAbsent returns nil in place of errAbsent: without a row there is nothing to release.
-func ignoreAbsent(err error) error {
-	if errors.Is(err, errAbsent) {
-		return nil
-	}
-	return err
-}
-
 // Close waits for the records and releases in progress, and stops their retries when the context
 // ends. Claim, Record and Release must not be called after Close.
 func (c *Claimer) Close(ctx context.Context) {
--- a/mesh/claim/store.go
+++ b/mesh/claim/store.go
@@ -20,6 +20,8 @@
 	errNotHeld = errors.New("claim: row belongs to another attempt")
 	// errAbsent means that there is no row.
 	errAbsent = errors.New("claim: no row")
+	// errWithdrawn means that the attempt was released before.
+	errWithdrawn = errors.New("claim: attempt was released")
 )
 
 // backend carries out an operation once; Claimer retries records and releases. An error that wraps
@@ -41,10 +43,11 @@
 // a write of unknown outcome it reads the row back. It may write the same attempt again, since
 // claim.Decide recognizes the attempt's own row.
 func (b *tableBackend) claim(ctx context.Context, request *claim.Request) (claim.Decision, error) {
-	var version uint64 // of the row to replace; 0 means absent
-	unknown := false   // an earlier write may have taken effect
+	var previous *claim.Row // the row to replace; nil means absent
+	var version uint64      // of previous; 0 means absent
+	unknown := false        // an earlier write may have taken effect
 	for range maxRounds {
-		err := b.put(ctx, request, claim.NewRow(request, b.now()), version)
+		err := b.put(ctx, request, claim.NewRow(request, previous, b.now()), version)
 		if err == nil {
 			return claim.Decision{Verdict: claim.Granted}, nil
 		}
@@ -56,12 +59,15 @@
 		if err != nil {
 			return claim.Decision{}, asUnknown(err, unknown)
 		}
-		version = stored
+		previous, version = row, stored
 		if row == nil {
 			continue
 		}
-		decision := claim.Decide(row, request, b.now())
-		if decision.Verdict != claim.Expired {
+		switch decision := claim.Decide(row, request, b.now()); decision.Verdict {
+		case claim.Expired:
+		case claim.Withdrawn:
+			return claim.Decision{}, errWithdrawn
+		default:
 			return decision, nil
 		}
 	}
@@ -87,13 +93,17 @@
 	return b.put(ctx, request, row, version)
 }
 
-// release deletes the attempt's own row, unless an outcome is recorded in it.
+// release ensures that the attempt does not hold the claim, now or later (see claim.Release).
 func (b *tableBackend) release(ctx context.Context, request *claim.Request) error {
-	row, version, err := b.readOwn(ctx, request)
-	if err != nil || row.Outcome != nil {
+	row, version, err := b.read(ctx, request.RowKey())
+	if err != nil {
 		return err
 	}
-	return b.write(ctx, version, store.Write{Key: request.RowKey(), Delete: true})
+	released := claim.Release(row, request, b.now())
+	if released == nil {
+		return nil
+	}
+	return b.put(ctx, request, released, version)
 }
 
 // readOwn returns the attempt's own row with its version. The error is errAbsent if there is no row
--- a/mesh/claim/sweep.go
+++ b/mesh/claim/sweep.go
@@ -53,7 +53,7 @@
 	return rendezvous.Top("claims/sweep", hosts, 1)[0] == self.Host
 }
 
-// Sweep deletes the expired claims, those of one page in one transaction, and returns the number of
+// Sweep deletes the claims that expired claim.ExpiredRetention ago, those of one page in one transaction, and returns the number of
 // deleted claims. Any daemon may sweep at any time.
 func (c *Claimer) Sweep(ctx context.Context) (int, error) {
 	deleted, after := 0, ""
@@ -74,13 +74,14 @@
 	}
 }
 
-// deleteExpired deletes the expired claims among the rows and returns their number. If one of
-// them has changed since it was read, none is deleted, and the next sweep finds them again.
+// deleteExpired deletes the claims among the rows that expired long enough ago and returns their
+// number. If one of them has changed since it was read, none is deleted, and the next sweep finds
+// them again.
 func (c *Claimer) deleteExpired(ctx context.Context, rows []store.Row) (int, error) {
 	batch := new(claim.Batch)
 	for _, stored := range rows {
 		row, err := claim.DecodeRow(stored.Value)
-		if err == nil && row.Expired(c.local.now()) {
+		if err == nil && row.Deletable(c.local.now()) {
 			batch.Add(stored.Version, store.Write{Key: stored.Key, Delete: true})
 		}
 	}
--- a/mesh/entry/claims.go
+++ b/mesh/entry/claims.go
@@ -28,6 +28,7 @@
 type requestClaim struct {
 	claims  Claims
 	request claim.Request
+	granted bool
 	// recorded is the recorded response; nil unless the request ran before.
 	recorded *claim.Outcome
 }
@@ -67,6 +68,7 @@
 func (k *requestClaim) apply(decision claim.Decision) *failure {
 	switch decision.Verdict {
 	case claim.Granted:
+		k.granted = true
 		return nil
 	case claim.Mismatch:
 		return refused(ReasonKeyReused, stepClaim, "the key was used for a different request")
@@ -84,10 +86,10 @@
 // hasRecorded reports whether the request ran before and its response is recorded.
 func (k *requestClaim) hasRecorded() bool { return k != nil && k.recorded != nil }
 
-// releaseIfRefused releases the claim of a request that certainly was not run. A request
+// releaseIfRefused releases the granted claim of a request that certainly was not run. A request
 // that may have run keeps its claim.
 func (k *requestClaim) releaseIfRefused(failed *failure) {
-	if k != nil && failed.outcome == retry.Refused {
+	if k != nil && k.granted && failed.outcome == retry.Refused {
 		k.claims.Release(k.request)
 	}
 }
