Offer requests to hosts until one has room

Cause: a request queued at the host that its entry had drawn, though others had free slots. With hundreds of hosts an entry speaks to each 0.1 to 0.4 times a second, so it draws nearly blindly. A refusal by a full host was counted as an attempt and drew on the fleet's retry budget, though it reached no target.

Ruled out: load reports of a second for all hosts of a zone (40 messages a second for each host, stale by then); handing the request on from host to host (the answer would pass a third daemon).

Change: coord/balance.Search offers the request to up to three hosts of the zone for a free slot, to one for a short wait, to two of other zones for a free slot, and queues it where the wait is shortest. A host refuses a bounded offer at once. Refusals by admission control say so on the wire, are not counted as attempts and draw nothing; those of daemons of the build before still are.

--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -39,6 +39,10 @@
 	Priority int
 	// Class groups requests of similar service time, such as those of one route.
 	Class string
+	// Bounded means that the request is refused at once unless a slot is free or the estimated
+	// wait is at most MaxWait: its sender can offer it to other targets.
+	Bounded bool
+	MaxWait time.Duration
 }
 
 // Verdict is the decision on a request.
@@ -143,6 +147,9 @@
 		return Action{ID: r.ID, Verdict: Run}, nil
 	}
 	position := t.position(r)
+	if r.Bounded && (r.MaxWait <= 0 || t.queueDelay(position, now) > r.MaxWait) {
+		return refusal(r, Overloaded), nil
+	}
 	if t.missesDeadline(r, position, now) || position >= t.minBacklog(now) && t.missesSoftDeadline(r, position, now) {
 		return refusal(r, Overloaded), nil
 	}
@@ -239,6 +246,14 @@
 // queue.
 func (t *Target) RetryAfter(now time.Time) time.Duration { return t.queueDelay(len(t.queue), now) }
 
+// Wait estimates how long a request submitted now waits for a slot; 0 if one is free.
+func (t *Target) Wait(now time.Time) time.Duration {
+	if t.Available(now) {
+		return 0
+	}
+	return t.queueDelay(len(t.queue), now)
+}
+
 // Complete frees the slot of a request that ran, records its service time under its class
 // and returns the actions on queued requests.
 func (t *Target) Complete(class string, duration time.Duration, now time.Time) []Action {
--- a/coord/admission/target_test.go
+++ b/coord/admission/target_test.go
@@ -286,3 +286,31 @@
 	action, _ := target.Submit(admission.Request{ID: 3, Deadline: now.Add(200 * time.Millisecond), Class: "sheet"}, now)
 	is.Equal(action.Verdict, admission.Refuse) // its estimate exceeds the remaining time
 }
+
+func TestBoundedRequestWaitsNoLongerThanItSays(t *testing.T) {
+	tests := []struct {
+		name    string
+		running int
+		maxWait time.Duration
+		want    admission.Verdict
+	}{
+		{"a free slot", 1, 0, admission.Run},
+		{"no free slot", 2, 0, admission.Refuse},
+		{"a short wait", 2, 60 * time.Millisecond, admission.Wait},
+		{"a long wait", 2, 40 * time.Millisecond, admission.Refuse},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			target := admission.NewTarget(admission.Config{Slots: 2, QueueLength: 8}, start)
+			deadline := start.Add(time.Minute)
+			target.Submit(admission.Request{ID: 100, Deadline: deadline}, start)
+			target.Complete("", 100*time.Millisecond, start)
+			for id := range test.running {
+				target.Submit(admission.Request{ID: uint64(id), Deadline: deadline}, start)
+			}
+			action, _ := target.Submit(admission.Request{ID: 200, Deadline: deadline, Bounded: true, MaxWait: test.maxWait}, start)
+			is.Equal(action.Verdict, test.want)
+		})
+	}
+}
--- a/coord/balance/state.go
+++ b/coord/balance/state.go
@@ -21,6 +21,8 @@
 	Queued int
 	// Slots is the number of slots in use or free, without those that warm-up keeps closed.
 	Slots int
+	// Wait is how long a request that arrives now is expected to wait for a slot.
+	Wait time.Duration
 }
 
 // State is the load and health of one endpoint as this daemon has observed them. It is safe
@@ -29,6 +31,7 @@
 	outstanding atomic.Int32 // this daemon's requests
 	others      atomic.Int32 // reported outstanding and queued, without this daemon's requests
 	slots       atomic.Int32 // reported slots; 0 before any report
+	wait        atomic.Int64 // reported, in nanoseconds
 	reportedAt  atomic.Int64 // nanoseconds since the origin of now; 0 before any report
 	avoidUntil  atomic.Int64 // nanoseconds since the origin of now
 	health      health
@@ -66,6 +69,7 @@
 func (e *Endpoint) Observe(report LoadReport, now time.Duration) {
 	e.others.Store(max(int32(report.Outstanding+report.Queued)-e.outstanding.Load(), 0))
 	e.slots.Store(int32(report.Slots))
+	e.wait.Store(int64(report.Wait))
 	e.reportedAt.Store(int64(now))
 }
 
@@ -87,6 +91,15 @@
 	return float64(busy) / float64(max(slots, 1))
 }
 
+// Wait returns how long a request is expected to wait for a slot; 0 without a report younger than
+// reportMaxAge.
+func (e *Endpoint) Wait(now time.Duration) time.Duration {
+	if !e.hasFreshReport(now) {
+		return 0
+	}
+	return time.Duration(e.wait.Load())
+}
+
 func (e *Endpoint) hasFreshReport(now time.Duration) bool {
 	at := e.reportedAt.Load()
 	return at != 0 && now-time.Duration(at) < reportMaxAge
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -27,6 +27,8 @@
 	request  *callerRequest
 	choice   *balance.Choice
 	endpoint *balance.Endpoint
+	offer    balance.Offer
+	maxWait  int64 // of a bounded offer, in microseconds
 	attempt  uint64
 
 	stream        Stream
@@ -95,6 +97,10 @@
 	head.Hops = c.hops
 	head.InlineBody = c.inlineBody
 	head.Complete = c.bodyComplete
+	if e.offer.Bounded {
+		e.maxWait = e.offer.MaxWait.Microseconds()
+		head.MaxWaitMicros = &e.maxWait
+	}
 	e.firstFrame.body.Head = head
 	e.firstFrame.frame.Attempt = e.attempt
 	e.firstFrame.frame.Body = &e.firstFrame.body
@@ -177,6 +183,7 @@
 	failed := refused(refusalReason(refusal.GetReason()), stepAwait, refusal.GetDetail()).withPeer(e.endpoint.Host)
 	failed.load = refusal.GetLoad()
 	failed.retryAfter = time.Duration(refusal.GetRetryAfterMillis()) * time.Millisecond
+	failed.byAdmission = refusal.GetByAdmission()
 	return failed
 }
 
@@ -200,6 +207,7 @@
 		Outstanding: int(load.GetOutstanding()),
 		Queued:      int(load.GetQueued()),
 		Slots:       int(load.GetSlots()),
+		Wait:        time.Duration(load.GetWaitMicros()) * time.Microsecond,
 	}
 	e.endpoint.Observe(report, e.request.entry.now())
 }
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -69,6 +69,9 @@
 	retryAfter    time.Duration
 	targetCrashed bool
 	load          *peerpb.Load // of the host that refused; nil if it reported none
+	// byAdmission means that admission control of the host refused the request: it reached no
+	// target there.
+	byAdmission bool
 }
 
 // withoutTarget reports whether the host had no target to run the request, so that the
@@ -146,14 +149,14 @@
 	if line == nil {
 		return
 	}
-	line.Write(append(c.failureFields(failed), zap.Int("status", failed.reason.httpStatus()), zap.Int("attempts", len(c.triedHosts)),
+	line.Write(append(c.failureFields(failed), zap.Int("status", failed.reason.httpStatus()), zap.Int("attempts", c.attempts),
 		zap.Duration("retry_after", failed.retryAfter))...)
 }
 
 // logRetry logs that another attempt follows.
 func (c *callerRequest) logRetry(failed *failure) {
 	if line := c.entry.deps.Log.Check(zap.InfoLevel, "call attempted again"); line != nil {
-		line.Write(append(c.failureFields(failed), zap.Int("attempts", len(c.triedHosts)))...)
+		line.Write(append(c.failureFields(failed), zap.Int("attempts", c.attempts))...)
 	}
 }
 
@@ -175,7 +178,7 @@
 	line.Write(zap.String("request_id", c.requestID), zap.String("service", c.service),
 		zap.String("route", c.route.Name), zap.String("peer", e.endpoint.Host), zap.String("peer_zone", e.endpoint.Zone),
 		zap.String("version", e.endpoint.Version), zap.Stringer("outcome", retry.Responded), zap.Int("status", e.status),
-		zap.Bool("cut", e.truncated), zap.Int("attempts", len(c.triedHosts)), zap.Uint64("revision", c.snapshot.Revision()),
+		zap.Bool("cut", e.truncated), zap.Int("attempts", c.attempts), zap.Uint64("revision", c.snapshot.Revision()),
 		zap.Duration("took", time.Since(c.startedAt)), zap.Duration("left", time.Until(c.deadline)))
 }
 
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -39,7 +39,8 @@
 	uploading bool
 
 	headers    []*peerpb.Header
-	triedHosts []string // backed by triedHostsArray
+	triedHosts []string // without those that refused an offer; backed by triedHostsArray
+	attempts   int      // without the offers that were refused
 	crashes    int
 	// attemptsWithoutTarget counts the attempts that a host refused because it had no target.
 	attemptsWithoutTarget int
@@ -81,22 +82,28 @@
 		return refused(ReasonNoTarget, stepBalance, "no target of service "+c.service+" is known")
 	}
 	c.triedHosts = c.triedHostsArray[:0]
+	search := balance.NewSearch(choice.Group, c.route.Objective.Std())
 	var worst *failure
 	for {
-		endpoint := choice.Group.Pick(c.entry.deps.Random, c.entry.now(), c.triedHosts)
-		if endpoint == nil {
+		offer := search.Next(c.entry.deps.Random, c.entry.now(), c.triedHosts)
+		if offer.Endpoint == nil {
 			return noHostFailure(worst)
 		}
-		failed := c.attempt(choice, endpoint)
+		failed := c.attempt(choice, offer)
 		if failed == nil {
 			return nil
 		}
 		worst = worseFailure(worst, failed)
+		if failed.byAdmission && !c.uploading && !c.cancelled() {
+			continue // it cost no target anything
+		}
+		c.triedHosts = append(c.triedHosts, offer.Endpoint.Host)
 		if !c.awaitRetry(failed, plan.budget) {
 			return worst
 		}
 		c.logRetry(failed)
 		choice = c.retryChoice(choice)
+		search = balance.NewSearch(choice.Group, c.route.Objective.Std())
 	}
 }
 
@@ -185,10 +192,10 @@
 // cancelled reports whether the caller's disconnect cancelled the request.
 func (c *callerRequest) cancelled() bool { return c.ctx.Err() != nil }
 
-// attempt sends the request to one endpoint and relays its response. It returns the
+// attempt sends the request to the endpoint of an offer and relays its response. It returns the
 // failure if there was none.
-func (c *callerRequest) attempt(choice *balance.Choice, endpoint *balance.Endpoint) *failure {
-	c.triedHosts = append(c.triedHosts, endpoint.Host)
+func (c *callerRequest) attempt(choice *balance.Choice, offer balance.Offer) *failure {
+	endpoint := offer.Endpoint
 	started := c.entry.now()
 	endpoint.Begin()
 	defer endpoint.End()
@@ -196,11 +203,15 @@
 		request:  c,
 		choice:   choice,
 		endpoint: endpoint,
+		offer:    offer,
 		attempt:  c.entry.lastAttemptID.Add(1),
 	}
 	failed := e.run()
 	e.recordHealth(failed)
-	e.reportAttempt(failed, c.entry.now()-started)
+	if failed == nil || !failed.byAdmission || !offer.Bounded {
+		c.attempts++
+		e.reportAttempt(failed, c.entry.now()-started)
+	}
 	if failed == nil {
 		c.logResponse(e)
 	}
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -13,6 +13,8 @@
 	reason     peerpb.RefusalReason
 	detail     string
 	retryAfter time.Duration
+	// byAdmission means that admission control refused the request: it reached no target.
+	byAdmission bool
 }
 
 // admit obtains a slot of a target and waits for one in its queue if necessary. It returns nil
@@ -59,6 +61,9 @@
 	e.lastAdmissionID++
 	c.admissionID = e.lastAdmissionID
 	request := admission.Request{ID: c.admissionID, Deadline: c.deadline, Priority: int(c.head.Priority), Class: c.head.Route}
+	if c.head.MaxWaitMicros != nil {
+		request.Bounded, request.MaxWait = true, time.Duration(c.head.GetMaxWaitMicros())*time.Microsecond
+	}
 	if bound := e.latencyBound(c.head.Service, c.head.Route); bound > 0 {
 		request.SoftDeadline = now.Add(bound)
 	}
@@ -178,8 +183,9 @@
 		return &refusal{reason: peerpb.RefusalReason_REFUSAL_REASON_LEAVING, detail: "the target is leaving"}
 	}
 	return &refusal{
-		reason:     peerpb.RefusalReason_REFUSAL_REASON_OVERLOADED,
-		detail:     "the queue of the target is full or the estimated response time is too long",
-		retryAfter: retryAfter,
+		reason:      peerpb.RefusalReason_REFUSAL_REASON_OVERLOADED,
+		detail:      "the queue of the target is full or the estimated response time is too long",
+		retryAfter:  retryAfter,
+		byAdmission: true,
 	}
 }
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -303,6 +303,18 @@
 	return e.loadOf(versionKey{service, version}, time.Now())
 }
 
+// wait returns the shortest time that a request of the version is expected to wait at one of its
+// targets here.
+func (e *Exit) wait(key versionKey, now time.Time) time.Duration {
+	var shortest time.Duration
+	for i, t := range e.versions[key] {
+		if wait := t.admission.Wait(now); i == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
 func (e *Exit) loadOf(key versionKey, now time.Time) Load {
 	var sum Load
 	for _, t := range e.versions[key] {
--- a/mesh/exit/callerrequest.go
+++ b/mesh/exit/callerrequest.go
@@ -91,6 +91,7 @@
 		Detail:           r.detail,
 		Load:             c.load(),
 		RetryAfterMillis: r.retryAfter.Milliseconds(),
+		ByAdmission:      r.byAdmission,
 	}}}
 	return c.stream.Send(frame) == nil
 }
@@ -105,10 +106,14 @@
 
 // load returns the load of the requested version.
 func (c *callerRequest) load() *peerpb.Load {
-	load := c.exit.VersionLoad(c.key.service, c.key.version)
+	now := time.Now()
+	c.exit.mu.Lock()
+	load, wait := c.exit.loadOf(c.key, now), c.exit.wait(c.key, now)
+	c.exit.mu.Unlock()
 	reported := &c.firstFrame.load
 	reported.Outstanding = int32(load.Outstanding)
 	reported.Queued = int32(load.Queued)
 	reported.Slots = int32(load.Slots)
+	reported.WaitMicros = wait.Microseconds()
 	return reported
 }
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -108,7 +108,9 @@
 	c, cancel := e.newCallerRequest(ctx, first.GetHead(), s)
 	defer cancel()
 	if refusal := c.admit(); refusal != nil {
-		e.outcomes.addRefused(c.outcomeKey())
+		if c.head.MaxWaitMicros == nil || !refusal.byAdmission {
+			e.outcomes.addRefused(c.outcomeKey())
+		}
 		return c.sendRefusal(refusal) && c.body.fullyRead()
 	}
 	started := time.Now()
--- a/mesh/exit/queue_test.go
+++ b/mesh/exit/queue_test.go
@@ -104,3 +104,19 @@
 		return fx.roundTrip(head).GetRefusal().GetReason() == reason
 	})
 }
+
+// A request that can be offered to other hosts does not wait here.
+func TestOfferIsRefusedWithoutAFreeSlot(t *testing.T) {
+	is := is.New(t)
+	var executions atomic.Int64
+	fx, free := newOccupiedFixture(t, 1, &executions)
+	head := requestHead(http.MethodGet, "/probe", "")
+	head.MaxWaitMicros = new(int64)
+	refusal := fx.roundTrip(head).GetRefusal()
+	is.Equal(refusal.GetReason(), peerpb.RefusalReason_REFUSAL_REASON_OVERLOADED)
+	is.True(refusal.GetByAdmission())
+	free()
+	fx.waitForLoad(exit.Load{Slots: 1})
+	is.True(fx.roundTrip(head).GetAnswer() != nil)
+	is.Equal(executions.Load(), int64(2))
+}
