Start pipelined requests early

Ruled out: a server of our own in place of net/http (limits, time-outs and framing would be ours); starting requests that must not be repeated (the caller sends them again when the connection ends before the answer).

Change: the caller's connection hands net/http one message at a time, reads ahead while a request is served, cancels the requests when the caller closes, and starts up to eight further GET or HEAD requests of repeatable routes. Responses keep their order. In a planned stop what was started is answered.

--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -155,7 +155,19 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	c := &callerRequest{entry: e, writer: writer, httpRequest: request}
+	conn := connOf(request.Context())
+	started := conn.beginServing(request)
+	defer conn.endServing()
+	if started != nil {
+		started.replyTo(writer, request)
+		return
+	}
+	e.serveRequest(writer, request, conn)
+}
+
+// serveRequest serves one request of a caller. The connection is nil if it is unknown.
+func (e *Entry) serveRequest(writer http.ResponseWriter, request *http.Request, conn *countedConn) {
+	c := &callerRequest{entry: e, writer: writer, httpRequest: request, conn: conn}
 	if e.deps.RequestObserver != nil {
 		defer c.reportResult()
 	}
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -235,5 +235,11 @@
 	case ReasonLimit, ReasonBodyCut, ReasonBodyTooLarge:
 		return true
 	}
-	return c.entry.keepAlivesDisabled.Load()
+	return c.closesConnection()
+}
+
+// closesConnection reports whether the connection is closed after the response because the daemon
+// stops.
+func (c *callerRequest) closesConnection() bool {
+	return c.entry.keepAlivesDisabled.Load() && c.conn.startClosing()
 }
--- a/mesh/entry/response.go
+++ b/mesh/entry/response.go
@@ -74,7 +74,7 @@
 	}
 	header.Set(HeaderOutcome, retry.Responded.String())
 	header.Set(e.request.entry.deps.Conventions.RequestIDHeader, e.request.requestID)
-	if e.request.entry.keepAlivesDisabled.Load() {
+	if e.request.closesConnection() {
 		header.Set("Connection", "close")
 	}
 	if _, ok := header["Content-Type"]; !ok {
--- a/mesh/entry/server.go
+++ b/mesh/entry/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -151,20 +150,29 @@
 type connKey struct{}
 
 func (s *Server) connContext(ctx context.Context, conn net.Conn) context.Context {
+	if counted, ok := conn.(*countedConn); ok {
+		ctx = counted.startContext(ctx)
+	}
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// connOf returns the caller's connection, or nil if the request has none of its own.
+func connOf(ctx context.Context) *countedConn {
+	conn, _ := ctx.Value(connKey{}).(*countedConn)
+	return conn
+}
+
 // overLimit reports whether the request arrived on a connection beyond the limit.
 func overLimit(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(*countedConn)
-	return ok && conn.overLimit
+	conn := connOf(ctx)
+	return conn != nil && conn.overLimit
 }
 
 // resetOnClose makes the close of the request's connection send a TCP reset rather than an
 // orderly end.
 func resetOnClose(ctx context.Context) {
-	conn, ok := ctx.Value(connKey{}).(*countedConn)
-	if !ok {
+	conn := connOf(ctx)
+	if conn == nil {
 		return
 	}
 	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
@@ -191,32 +199,6 @@
 			_ = conn.Close()
 			continue
 		}
-		return &countedConn{Conn: conn, overLimit: number > l.server.maxConnections, onClose: func() { l.server.openConnections.Add(-1) }}, nil
-	}
-}
-
-// countedConn is a connection that counts as open until it is closed.
-type countedConn struct {
-	net.Conn
-	overLimit bool // accepted only to be refused
-	once      sync.Once
-	onClose   func()
-	// headerStart is when the first byte of a header arrived, in Unix nanoseconds; 0 while
-	// the connection waits for a request.
-	headerStart atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && c.headerStart.Load() == 0 {
-		c.headerStart.Store(time.Now().UnixNano())
+		return newCountedConn(conn, l.server.entry, number > l.server.maxConnections, func() { l.server.openConnections.Add(-1) }), nil
 	}
-	return n, err
-}
-
-// Close implements net.Conn.
-func (c *countedConn) Close() error {
-	c.once.Do(c.onClose)
-	return c.Conn.Close()
 }
