Accept fractions in the fleet's retry reserve

Cause: a small twin of the large deployment did not start at all: its reserve is a fraction, and the setting took whole numbers only. The division of the reserve over the daemons was of whole numbers too, so that with more daemons than retries no request would ever have been retried.

Change: reserves are fractions. A budget that holds less than one retry when full grants one with the probability of its content and is emptied by the attempt, so that all daemons together retry as much as the reserve allows.

--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -11,8 +11,9 @@
 	// Share is the part of a retry that each request deposits: the long-term ratio of
 	// retries to requests.
 	Share float64
-	// Reserve is the number of retries that a full budget holds.
-	Reserve int
+	// Reserve is the number of retries that a full budget holds. It may be a fraction: the part of
+	// one process in a reserve that many share.
+	Reserve float64
 }
 
 // DefaultLimits are the limits of a daemon that shares no reserve with others.
@@ -45,7 +46,7 @@
 // SetLimits changes the limits. An empty budget stays empty.
 func (b *Budget) SetLimits(limits Limits) {
 	b.share.Store(int64(limits.Share * tokensPerRetry))
-	b.reserve.Store(int64(limits.Reserve) * tokensPerRetry)
+	b.reserve.Store(int64(limits.Reserve * tokensPerRetry))
 	for {
 		spent := b.spent.Load()
 		if spent <= b.reserve.Load() || b.spent.CompareAndSwap(spent, b.reserve.Load()) {
@@ -72,15 +73,24 @@
 	}
 }
 
-// TryWithdraw withdraws one retry and reports whether the budget held one.
-func (b *Budget) TryWithdraw() bool {
+// TryWithdraw withdraws one retry and reports whether the budget held one. A full budget that
+// holds less than one, since many processes share the reserve, is emptied and grants a retry with
+// the probability of its content, so that all of them together retry as much as the reserve
+// allows. The draw is uniform from 0 up to 1.
+func (b *Budget) TryWithdraw(draw float64) bool {
 	for {
-		spent := b.spent.Load()
-		if spent+tokensPerRetry > b.reserve.Load() {
+		spent, reserve := b.spent.Load(), b.reserve.Load()
+		held := reserve - spent
+		cost := int64(tokensPerRetry)
+		switch {
+		case held >= tokensPerRetry:
+		case reserve < tokensPerRetry && held > 0 && spent == 0:
+			cost = held
+		default:
 			return false
 		}
-		if b.spent.CompareAndSwap(spent, spent+tokensPerRetry) {
-			return true
+		if b.spent.CompareAndSwap(spent, spent+cost) {
+			return draw*tokensPerRetry < float64(cost)
 		}
 	}
 }
--- a/coord/retry/retry.go
+++ b/coord/retry/retry.go
@@ -79,7 +79,8 @@
 }
 
 // Decide returns whether to retry after an attempt, and withdraws the retry from the budget.
-// Jitter, from 0 up to 1, is the fraction of the maximum backoff. Attempts refused for lack of
+// Jitter, uniform from 0 up to 1, is the fraction of the maximum backoff and the draw of
+// Budget.TryWithdraw. Attempts refused for lack of
 // a target are bounded separately, by MaxNoTarget, and withdraw nothing: they put no load on a
 // target, and many hosts may leave at the same time.
 func Decide(history History, budget *Budget, jitter float64) Decision {
@@ -93,7 +94,7 @@
 		return Decision{Retry: true}
 	}
 	backoff := history.backoff(jitter)
-	if history.Remaining-backoff < minRemaining || !budget.TryWithdraw() {
+	if history.Remaining-backoff < minRemaining || !budget.TryWithdraw(jitter) {
 		return Decision{}
 	}
 	return Decision{Retry: true, Backoff: backoff}
--- a/coord/retry/retry_test.go
+++ b/coord/retry/retry_test.go
@@ -60,10 +60,10 @@
 			if isRequest {
 				budget.Deposit()
 				requests++
-			} else if budget.TryWithdraw() {
+			} else if budget.TryWithdraw(0.5) {
 				retries++
 			}
-			if retries*tokensPerRetry > requests*tokensPerRetry/10+DefaultLimits.Reserve*tokensPerRetry {
+			if float64(retries) > float64(requests)/10+DefaultLimits.Reserve {
 				t.Fatalf("%d retries for %d requests", retries, requests)
 			}
 		}
@@ -102,12 +102,12 @@
 		budget := NewEmptyBudget(Limits{Share: 0.1, Reserve: reserve})
 		for range requests {
 			budget.Deposit()
-			for budget.TryWithdraw() {
+			for budget.TryWithdraw(0.5) {
 				retries++
 			}
 		}
 		budget.SetLimits(Limits{Share: 0.1, Reserve: reserve / processes})
-		for budget.TryWithdraw() {
+		for budget.TryWithdraw(0.5) {
 			retries++
 		}
 	}
@@ -118,18 +118,40 @@
 func TestEmptyBudgetFills(t *testing.T) {
 	is := is.New(t)
 	budget := NewEmptyBudget(Limits{Share: 0.1, Reserve: 60})
-	is.True(!budget.TryWithdraw())
+	is.True(!budget.TryWithdraw(0.5))
 	budget.SetLimits(Limits{Share: 0.1, Reserve: 5})
 	for range 10 {
 		budget.Deposit()
 	}
-	is.True(budget.TryWithdraw())
-	is.True(!budget.TryWithdraw())
+	is.True(budget.TryWithdraw(0.5))
+	is.True(!budget.TryWithdraw(0.5))
 	for range 1000 {
 		budget.Deposit()
 	}
 	for range 5 {
-		is.True(budget.TryWithdraw())
+		is.True(budget.TryWithdraw(0.5))
 	}
-	is.True(!budget.TryWithdraw())
+	is.True(!budget.TryWithdraw(0.5))
+}
+
+// A reserve that more processes share than it holds retries is neither lost nor exceeded.
+func TestReserveIsSharedByMoreProcessesThanItHoldsRetries(t *testing.T) {
+	is := is.New(t)
+	const processes, reserve, requests = 570, 430, 20
+	retries := 0
+	for process := range processes {
+		budget := NewEmptyBudget(Limits{Share: 0.1, Reserve: float64(reserve) / processes})
+		for range requests {
+			budget.Deposit()
+		}
+		for try := range 5 { // of which a process with one retry could make one
+			draw := float64(process) / processes
+			if budget.TryWithdraw(draw) {
+				retries++
+				is.Equal(try, 0)
+			}
+		}
+	}
+	is.True(retries <= reserve)
+	is.True(retries >= reserve-processes/tokensPerRetry-1) // a token is a thousandth of a retry
 }
--- a/mesh/entry/routing.go
+++ b/mesh/entry/routing.go
@@ -110,7 +110,7 @@
 	if r.retrySettings.FleetReserve > 0 {
 		// Members that appear dead count too: they may serve on the other side of a network
 		// partition, and the sum over all daemons has to stay bounded.
-		limits.Reserve = r.retrySettings.FleetReserve / max(len(r.members), 1)
+		limits.Reserve = r.retrySettings.FleetReserve / float64(max(len(r.members), 1))
 	}
 	return limits
 }
--- a/mesh/entry/routing_test.go
+++ b/mesh/entry/routing_test.go
@@ -77,7 +77,7 @@
 	}
 	r := newRouting(balance.Locality{Host: "a0", Zone: "a"}, settings.Retry{Share: 0.1, FleetReserve: reserve}, 0)
 	r.setMembers(members)
-	is.Equal(r.limits().Reserve, reserve/fleet)
+	is.Equal(r.limits().Reserve, float64(reserve)/fleet)
 	for i := range members[4:] {
 		members[4+i].Status = gossip.Dead
 	}
--- a/mesh/settings/settings.go
+++ b/mesh/settings/settings.go
@@ -53,10 +53,10 @@
 	// Share is the fraction of the requests that may be retried, above 0 and at most 1.
 	Share float64 `json:"share" validate:"gt=0,max=1"`
 	// Reserve is the number of retries beyond Share that are available at once.
-	Reserve int `json:"reserve" validate:"min=0"`
+	Reserve float64 `json:"reserve" validate:"min=0"`
 	// FleetReserve replaces Reserve if it is not 0. It is a total for all live daemons and is
 	// divided among them.
-	FleetReserve int `json:"fleetReserve" validate:"min=0"`
+	FleetReserve float64 `json:"fleetReserve" validate:"min=0"`
 }
 
 // Entry configures the port for callers.
