Wait longer before a starting daemon's first request for changes

Cause: each daemon opened a change feed 0.3 of the apply bound after its first read, before the membership had told it which host reads the store for it: 54 of 58 daemons at a start of all, and each restarted one.

Ruled out: polling each of the zone's readers first (none follows the store yet at a start of all).

Change: the first request for changes follows 0.6 of the apply bound after the first read; the rest of the bound remains for a failed read and another.

--- a/mesh/source/follower.go
+++ b/mesh/source/follower.go
@@ -29,6 +29,8 @@
 	// pause is the delay after each successful exchange, so that changes in quick succession share a
 	// read.
 	pause time.Duration
+	// firstPause replaces pause after the first exchange, if it is longer.
+	firstPause time.Duration
 
 	// after is the version of the store from which to continue.
 	after uint64
@@ -60,10 +62,14 @@
 		default:
 			backoff = minRetryBackoff
 			f.reportReachable(true)
+			pause := f.pause
+			if !f.initialized {
+				pause = max(pause, f.firstPause)
+			}
 			f.initialized, f.restart = true, false
 			f.after = f.through(changes)
 			f.apply(changes)
-			sleep(ctx, f.pause)
+			sleep(ctx, pause)
 		}
 	}
 }
--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -41,6 +41,11 @@
 // next request for changes. Most of the bound remains for a read that fails.
 const changePauseFraction = 0.3
 
+// startPauseFraction is the fraction of Timing.ApplyWithin that passes between the first read of a
+// starting daemon and its first request for changes. In that time it mostly learns from the
+// membership which host reads the store for it, and needs no request.
+const startPauseFraction = 0.6
+
 // Source maintains the daemon's copy of the configuration. Once started, it is safe for
 // concurrent use.
 type Source struct {
@@ -231,6 +236,7 @@
 		reportReachable: s.recordReachable,
 		reread:          s.reread,
 		pause:           s.applyFraction(changePauseFraction),
+		firstPause:      s.applyFraction(startPauseFraction),
 	}
 	for {
 		select {
