Bound what is read of a target that sends no answer, and drop connections of unnamed ones

Cause: the exit read the body of a refusal, or of a response to another request, to its end before it told the caller. A body without end held the caller and the slot up to the deadline. A response without a request id, such as a target's refusal on the users' platform, left its connection in use: a second copy of it, sent late, was taken for the response to the next request, and a copy of a refusal said "not run" of one that ran.

Ruled out: refusing responses without an id on reused connections (a target's refusals lack it, and saying "unknown" of them would lose requests that may be sent again).

Change: a refusal is sent at once, and its connection is closed unless the body has arrived; of other unwanted bodies 256 KiB are read; headers are bounded by 256 KiB, informational responses included (2 MiB for each before). Where targets echo the id, the connection of a response without one is not reused.

--- a/mesh/exit/conventions.go
+++ b/mesh/exit/conventions.go
@@ -8,6 +8,10 @@
 type Conventions struct {
 	// RequestID names the field with the request id, in requests and responses.
 	RequestID string
+	// EchoesRequestID means that targets send the RequestID field in their responses. The connection
+	// of a response without it is not reused: a second copy of that response, which comes late,
+	// could not be told from the response to the next request.
+	EchoesRequestID bool
 	// Deadline names the request field with the remaining time in milliseconds.
 	Deadline string
 	// Revision names the request field with the configuration revision by which the request was
--- a/mesh/exit/dispatch.go
+++ b/mesh/exit/dispatch.go
@@ -66,7 +66,7 @@
 		result = c.relay(response)
 	}
 	complete := result.kind == responded || result.kind == notDispatched
-	if complete && !response.Close && c.conn.reusable() {
+	if complete && !response.Close && c.identified(response) && c.conn.reusable() {
 		c.conn.idleTimeout = c.exit.conventions.connIdleTimeout(response)
 		c.target.conns.put(c.conn)
 		return result
@@ -92,13 +92,19 @@
 	}
 }
 
-// relayRefusal sends the refusal of a request that the target did not run, and discards the
-// response.
+// identified reports whether the response names its request, or targets do not do that.
+func (c *callerRequest) identified(response *http.Response) bool {
+	conventions := &c.exit.conventions
+	return !conventions.EchoesRequestID || response.Header.Get(conventions.RequestID) != ""
+}
+
+// relayRefusal sends the refusal of a request that the target did not run. A body that has not
+// arrived yet is not waited for: it may have no end.
 func (c *callerRequest) relayRefusal(response *http.Response, refusal *refusal) result {
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	c.sendRefusal(refusal)
+	if !c.conn.bodyBuffered(response) || !discardBody(response) {
 		response.Close = true
 	}
-	c.sendRefusal(refusal)
 	return result{kind: notDispatched, status: response.StatusCode}
 }
 
@@ -144,13 +150,22 @@
 			return response, err
 		}
 		// A surplus response to an earlier request came late; that to this request follows.
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+		if !discardBody(response) || response.Close {
 			return nil, errResponseMismatch
 		}
 	}
 	return nil, errResponseMismatch
 }
 
+// maxDiscardedBody bounds the body that is read to reach the response behind it, in bytes.
+const maxDiscardedBody = 256 << 10
+
+// discardBody reads an unwanted body and reports whether it ended within maxDiscardedBody.
+func discardBody(response *http.Response) bool {
+	_, err := io.CopyN(io.Discard, response.Body, maxDiscardedBody)
+	return errors.Is(err, io.EOF)
+}
+
 // maxMismatched bounds the number of responses to other requests that are read for one request.
 const maxMismatched = 3
 
--- a/mesh/exit/exit_test.go
+++ b/mesh/exit/exit_test.go
@@ -34,6 +34,12 @@
 }
 
 func newFixture(t testing.TB, options ...func(*settings.Settings)) *fixture {
+	t.Helper()
+	return newFixtureOf(t, nil, options...)
+}
+
+// newFixtureOf returns a fixture whose exit has options of its own.
+func newFixtureOf(t testing.TB, exitOptions []exit.Option, options ...func(*settings.Settings)) *fixture {
 	t.Helper()
 	is := is.New(t)
 	s := settings.Default()
@@ -43,7 +49,7 @@
 		f(&s)
 	}
 	identity := peer.Identity{Host: "h2", Zone: "b"}
-	e := exit.New(s.Exit, identity, zap.NewNop())
+	e := exit.New(s.Exit, identity, zap.NewNop(), exitOptions...)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	server := peer.NewServer(identity, s.Peer, nil, e, zap.NewNop())
--- a/mesh/exit/targetconn.go
+++ b/mesh/exit/targetconn.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// maxResponseHeader bounds the header of a response, in bytes.
-	maxResponseHeader = 2 << 20
+	// maxResponseHeader bounds the header of a response, and of the informational ones before it,
+	// in bytes.
+	maxResponseHeader = 256 << 10
 	// maxResponses bounds the number of responses read up to and including the final one:
 	// informational (1xx) ones and the final one together.
 	maxResponses = 8
@@ -179,8 +180,8 @@
 
 // receive reads the header of the final response and discards the informational ones before it.
 func (c *targetConn) receive(request *http.Request) (*http.Response, error) {
+	c.readRemaining = maxResponseHeader
 	for range maxResponses {
-		c.readRemaining = maxResponseHeader
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
