Keep requests that must not be repeated through a silence of their host

Cause: after two keepalive intervals without a frame (1 s) the entry gave up the running request of a host that was only paused or slow, also one that must not be repeated: its caller was told "unknown" and the response was lost. A pause of the entry's own process ended exchanges whose frames lay unread in its socket.

Ruled out: longer intervals (requests that may be repeated would wait longer for another host, and connections that are silent for good would be noticed later).

A read that timed out long after its time, since this process was paused, is tried once more.

TestPausedHostIsAwaitedWhereARepetitionIsOfNoUse; with the mechanism taken out its first row fails (its second row shows it).

--- a/mesh/entry/bench_test.go
+++ b/mesh/entry/bench_test.go
@@ -30,6 +30,8 @@
 	return nil
 }
 
+func (*immediateStream) KeepThroughSilence(func()) {}
+
 func (*immediateStream) SetDeadline(time.Time) error { return nil }
 func (*immediateStream) Release()                    {}
 func (*immediateStream) Discard()                    {}
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -34,6 +34,9 @@
 	Send(*peerpb.CallFrame) error
 	Receive(*peerpb.CallFrame) error
 	SetDeadline(time.Time) error
+	// KeepThroughSilence makes the exchange last to the deadline though the host falls silent,
+	// which the function then learns. It applies to the request sent last.
+	KeepThroughSilence(onSilence func())
 	// Release returns the stream for another request, Discard closes it.
 	Release()
 	Discard()
--- a/mesh/entry/fixture_test.go
+++ b/mesh/entry/fixture_test.go
@@ -47,6 +47,8 @@
 	return protodelim.UnmarshalFrom(s.reader, frame)
 }
 
+func (s *pipeStream) KeepThroughSilence(func()) {}
+
 func (s *pipeStream) Release() {
 	s.released.Store(true)
 	_ = s.Close()
--- a/mesh/peer/keepalive.go
+++ b/mesh/peer/keepalive.go
@@ -36,11 +36,9 @@
 }
 
 // setFrameDeadline bounds the next read by the deadline of the stream and by maxSilentIntervals,
-// within which an end that has frames left to send sends at least a keepalive frame.
-func (s *Stream) setFrameDeadline() {
-	if s.keepaliveInterval == 0 {
-		return
-	}
+// within which an end that has frames left to send sends at least a keepalive frame. It returns the
+// bound.
+func (s *Stream) setFrameDeadline() time.Time {
 	s.deadlineMu.Lock()
 	defer s.deadlineMu.Unlock()
 	limit := time.Now().Add(maxSilentIntervals * s.keepaliveInterval)
@@ -48,6 +46,56 @@
 		limit = s.deadline
 	}
 	s.conn.SetReadDeadline(limit)
+	return limit
+}
+
+// KeepThroughSilence makes the exchange last to the deadline of the stream though the other end
+// falls silent: it may only be paused, and a request that must not be repeated gains nothing if it
+// is given up earlier. The function is called in Receive at the first silence. It applies to the
+// request sent last, on the dialing side, and needs a deadline.
+func (s *Stream) KeepThroughSilence(onSilence func()) { s.onSilence = onSilence }
+
+// awaitFrame waits until the first byte of a frame arrives, for as long as setFrameDeadline allows.
+// When this process was itself paused, what the other end sent meanwhile may still have to be
+// read, so that the time begins anew.
+func (s *Stream) awaitFrame() error {
+	if s.keepaliveInterval == 0 {
+		return nil
+	}
+	for {
+		limit := s.setFrameDeadline()
+		_, err := s.reader.Peek(1)
+		switch {
+		case err == nil:
+			s.setFrameDeadline()
+			return nil
+		case !s.silent(err):
+			return err
+		case time.Since(limit) > s.keepaliveInterval:
+			continue
+		}
+		s.pool.closeIdle()
+		if s.onSilence == nil {
+			return err
+		}
+		s.onSilence()
+		s.resetReadDeadline()
+		if _, err := s.reader.Peek(1); err != nil {
+			return err
+		}
+	}
+}
+
+// silent reports whether a read ended for lack of keepalive frames, before the deadline of the
+// stream.
+func (s *Stream) silent(err error) bool {
+	var timeout net.Error
+	if s.pool == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
+		return false
+	}
+	s.deadlineMu.Lock()
+	defer s.deadlineMu.Unlock()
+	return s.deadline.IsZero() || time.Now().Before(s.deadline)
 }
 
 // resetReadDeadline bounds the next read by the deadline of the stream only.
@@ -61,14 +109,7 @@
 // the stream, that is, for lack of keepalive frames: a fault that broke this connection unnoticed
 // may have broken the others too.
 func (s *Stream) closeIdleOnTimeout(err error) {
-	var timeout net.Error
-	if s.pool == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
-		return
-	}
-	s.deadlineMu.Lock()
-	deadlinePassed := !s.deadline.IsZero() && !time.Now().Before(s.deadline)
-	s.deadlineMu.Unlock()
-	if !deadlinePassed {
+	if s.silent(err) {
 		s.pool.closeIdle()
 	}
 }
--- a/mesh/peer/keepalive_test.go
+++ b/mesh/peer/keepalive_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -167,3 +168,88 @@
 		}
 	}
 }
+
+// pausedRelay forwards one connection to the target, and holds bytes back while it is paused.
+type pausedRelay struct {
+	address string
+	mutex   sync.Mutex // held while paused
+}
+
+func newPausedRelay(t *testing.T, target string) *pausedRelay {
+	t.Helper()
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	r := &pausedRelay{address: l.Addr().String()}
+	go func() {
+		client, err := l.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp", target)
+		if err != nil {
+			client.Close()
+			return
+		}
+		go r.copy(server, client)
+		go r.copy(client, server)
+	}()
+	return r
+}
+
+func (r *pausedRelay) copy(to, from net.Conn) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		r.mutex.Lock()
+		_, err = to.Write(buffer[:n])
+		r.mutex.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// A host that is paused while it runs a request that must not be repeated is not given up; it is
+// one that may be repeated that fails, so that it can run elsewhere.
+func TestPausedHostIsAwaitedWhereARepetitionIsOfNoUse(t *testing.T) {
+	const pause = time.Second // ten keepalive intervals
+	for _, keep := range []bool{true, false} {
+		is := is.New(t)
+		s := peerSettings()
+		s.Keepalive = revision.Duration(100 * time.Millisecond)
+		var r *pausedRelay
+		_, address, pool := startServer(t, s, requestHandlerFunc(func(ctx context.Context, frame *peerpb.CallFrame, stream *peer.Stream) bool {
+			r.mutex.Lock()
+			time.AfterFunc(pause, r.mutex.Unlock)
+			return echoRequest(ctx, frame, stream)
+		}))
+		r = newPausedRelay(t, address)
+		stream, err := pool.OpenStream(testContext(t), "h2", r.address)
+		is.NoErr(err)
+		is.NoErr(stream.SetDeadline(time.Now().Add(20 * time.Second)))
+		is.NoErr(stream.Send(requestFrame(1, "swan")))
+		silences := 0
+		if keep {
+			stream.KeepThroughSilence(func() { silences++ })
+		}
+		frame := new(peerpb.CallFrame)
+		err = stream.Receive(frame)
+		if keep {
+			is.NoErr(err)
+			is.Equal(string(frame.GetAnswer().GetInlineBody()), "swan")
+			is.Equal(silences, 1)
+		} else {
+			is.True(err != nil)
+		}
+		stream.Discard()
+		r.mutex.Lock() // until the pause has ended
+		r.mutex.Unlock()
+	}
+}
--- a/mesh/peer/stream.go
+++ b/mesh/peer/stream.go
@@ -58,6 +58,9 @@
 	// hasDataFrames is set on the dialing side if the request has data frames. The stream is then
 	// not reused, since the other end may not have read them all when it responds.
 	hasDataFrames bool
+	// onSilence is set while a silence of the other end does not end the exchange; see
+	// KeepThroughSilence.
+	onSilence func()
 }
 
 // newStream returns a stream on a connection whose handshake is done. counts may be nil if
@@ -119,6 +122,7 @@
 	s.attempt = attempt
 	s.responseStarted.Store(false)
 	s.requestUnread.Store(false)
+	s.onSilence = nil
 }
 
 func (s *Stream) write(frame *peerpb.CallFrame) (int, error) {
@@ -157,7 +161,9 @@
 // nextFrame reads the next frame that is not a keepalive frame.
 func (s *Stream) nextFrame(frame *peerpb.CallFrame) error {
 	for {
-		s.setFrameDeadline()
+		if err := s.awaitFrame(); err != nil {
+			return stepError(ErrStream, "await frame", s.remote.Host, err)
+		}
 		if err := readFrame(s.reader, frame, maxCallFrame); err != nil {
 			s.closeIdleOnTimeout(err)
 			return stepError(ErrStream, "receive frame", s.remote.Host, err)
