Send requests away from targets that fail a part of them

Cause: health was judged by five failures in a row as seen by one entry.

Ruled out: gossiping health (a second late, and a message for each change of each target); closing the target at the exit (with all targets failing alike, as when a service that they call refuses, nothing would be served).

Change: the exit keeps the failure rate of each target, refuses offers with its probability and reports it; it counts as load at the entry. Requests that find no better host run there as before.

--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -43,6 +43,9 @@
 	// wait is at most MaxWait: its sender can offer it to other targets.
 	Bounded bool
 	MaxWait time.Duration
+	// Draw is uniform from 0 up to 1. A bounded request is refused with the probability of
+	// Target.FailureRate, so that requests go to targets that fail less where there are any.
+	Draw float64
 }
 
 // Verdict is the decision on a request.
@@ -100,6 +103,7 @@
 	queue       []Request // by priority, then in order of arrival
 	service     ewma      // service time over all classes
 	classes     map[string]*serviceEstimate
+	failures    failureRate
 }
 
 // NewTarget returns the state of a target that starts at now, without work.
@@ -142,6 +146,8 @@
 		return refusal(r, Leaving), nil
 	case !now.Before(r.Deadline):
 		return refusal(r, Expired), nil
+	case r.Bounded && r.Draw < t.FailureRate(now):
+		return refusal(r, Overloaded), nil
 	case t.Available(now):
 		t.outstanding++
 		return Action{ID: r.ID, Verdict: Run}, nil
--- a/coord/admission/target_test.go
+++ b/coord/admission/target_test.go
@@ -314,3 +314,29 @@
 		})
 	}
 }
+
+// A target that fails many requests refuses offers, so that they go elsewhere, but no request
+// that has nowhere else to go.
+func TestFailingTargetRefusesOffers(t *testing.T) {
+	is := is.New(t)
+	target := admission.NewTarget(admission.Config{Slots: 4, QueueLength: 8}, start)
+	submit := func(id uint64, bounded bool, draw float64) admission.Verdict {
+		action, _ := target.Submit(admission.Request{ID: id, Deadline: start.Add(time.Minute), Bounded: bounded, Draw: draw}, start)
+		if action.Verdict == admission.Run {
+			target.Release(start)
+		}
+		return action.Verdict
+	}
+	is.Equal(submit(1, true, 0), admission.Run)
+	for range 30 {
+		target.RecordResult(true, start)
+	}
+	is.True(target.FailureRate(start) > 0.9)
+	is.Equal(submit(2, true, 0.5), admission.Refuse)
+	is.Equal(submit(3, false, 0.5), admission.Run)
+	is.True(target.FailureRate(start.Add(5*time.Second)) < 0.05) // it is tried again
+	for range 30 {
+		target.RecordResult(false, start)
+	}
+	is.Equal(submit(4, true, 0.5), admission.Run)
+}
--- a/coord/balance/search_test.go
+++ b/coord/balance/search_test.go
@@ -275,3 +275,25 @@
 	is.Equal(balance.NewSearch(group, 0).Next(random, time.Second, []string{"well"}).Endpoint.Host, "ill")
 	is.True(balance.NewSearch(group, 0).Next(random, time.Second, []string{"well", "ill"}).Endpoint == nil)
 }
+
+// A host that fails its requests at once is idle. It must not draw more of them for that.
+func TestFailingHostIsNotTakenForAnIdleOne(t *testing.T) {
+	is := is.New(t)
+	var members []gossip.Member
+	for _, host := range []string{"failing", "busy"} {
+		target := gossip.Target{Service: "s", Version: "v", Slots: 10}
+		members = append(members, gossip.Member{Record: gossip.Record{Host: host, Zone: "a", Targets: []gossip.Target{target}}})
+	}
+	group := balance.NewIndex(balance.Locality{Zone: "a"}, members, nil).Group("s", "v")
+	for _, endpoint := range group.Endpoints() {
+		report := balance.LoadReport{Outstanding: 8, Slots: 10}
+		if endpoint.Host == "failing" {
+			report = balance.LoadReport{FailureRate: 0.5, Slots: 10}
+		}
+		endpoint.Observe(report, time.Second)
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 20 {
+		is.Equal(balance.NewSearch(group, 0).Next(random, time.Second, nil).Endpoint.Host, "busy")
+	}
+}
--- a/coord/balance/state.go
+++ b/coord/balance/state.go
@@ -23,8 +23,14 @@
 	Slots int
 	// Wait is how long a request that arrives now is expected to wait for a slot.
 	Wait time.Duration
+	// FailureRate is the recent fraction of requests that failed there, from 0 to 1.
+	FailureRate float64
 }
 
+// failurePenalty is the load, in requests per slot, that a host counts as having if all of its
+// requests fail. A host that fails at once is idle, and would otherwise draw more of them.
+const failurePenalty = 2.0
+
 // State is the load and health of one endpoint as this daemon has observed them. It is safe
 // for concurrent use, and each Index takes it over from the one before.
 type State struct {
@@ -32,6 +38,7 @@
 	others      atomic.Int32 // reported outstanding and queued, without this daemon's requests
 	slots       atomic.Int32 // reported slots; 0 before any report
 	wait        atomic.Int64 // reported, in nanoseconds
+	failures    atomic.Int64 // reported failure rate, in parts per million
 	reportedAt  atomic.Int64 // nanoseconds since the origin of now; 0 before any report
 	avoidUntil  atomic.Int64 // nanoseconds since the origin of now
 	health      health
@@ -70,6 +77,7 @@
 	e.others.Store(max(int32(report.Outstanding+report.Queued)-e.outstanding.Load(), 0))
 	e.slots.Store(int32(report.Slots))
 	e.wait.Store(int64(report.Wait))
+	e.failures.Store(int64(report.FailureRate * partsPerUnit))
 	e.reportedAt.Store(int64(now))
 }
 
@@ -79,8 +87,9 @@
 	e.avoidUntil.Store(int64(now + avoidDuration))
 }
 
-// Load returns the requests outstanding and queued at the endpoint, per slot. It includes
-// those of other daemons while the last report is younger than reportMaxAge.
+// Load returns the requests outstanding and queued at the endpoint, per slot, and the penalty for
+// failures. It includes the requests of other daemons and the penalty while the last report is
+// younger than reportMaxAge.
 func (e *Endpoint) Load(now time.Duration) float64 {
 	busy := e.outstanding.Load()
 	slots := int32(e.Slots)
@@ -88,9 +97,21 @@
 		busy += e.others.Load()
 		slots = e.slots.Load()
 	}
-	return float64(busy) / float64(max(slots, 1))
+	return float64(busy)/float64(max(slots, 1)) + failurePenalty*e.FailureRate(now)
+}
+
+// FailureRate returns the reported fraction of failed requests; 0 without a report younger than
+// reportMaxAge.
+func (e *Endpoint) FailureRate(now time.Duration) float64 {
+	if !e.hasFreshReport(now) {
+		return 0
+	}
+	return float64(e.failures.Load()) / partsPerUnit
 }
 
+// partsPerUnit is the resolution of a stored fraction.
+const partsPerUnit = 1_000_000
+
 // Wait returns how long a request is expected to wait for a slot; 0 without a report younger than
 // reportMaxAge.
 func (e *Endpoint) Wait(now time.Duration) time.Duration {
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -57,6 +57,9 @@
 	if err := stream.Send(e.requestHead()); err != nil {
 		return unknown(e.lossReason(), stepSend, err.Error()).withPeer(e.endpoint.Host)
 	}
+	if e.request.route.Repeat != revision.RepeatIdempotent {
+		stream.KeepThroughSilence(e.recordSilence)
+	}
 	e.upload = e.request.startUpload(stream, e.attempt)
 	return e.awaitResponse()
 }
@@ -208,10 +211,18 @@
 		Queued:      int(load.GetQueued()),
 		Slots:       int(load.GetSlots()),
 		Wait:        time.Duration(load.GetWaitMicros()) * time.Microsecond,
+		FailureRate: float64(load.GetFailurePermille()) / 1000,
 	}
 	e.endpoint.Observe(report, e.request.entry.now())
 }
 
+// recordSilence makes other requests avoid a host that fell silent while the request runs there.
+func (e *exchange) recordSilence() {
+	now := e.request.entry.now()
+	e.endpoint.Avoid(now)
+	e.choice.Group.RecordFailure(e.endpoint, now)
+}
+
 // recordHealth records what the attempt shows about the endpoint's health.
 func (e *exchange) recordHealth(failed *failure) {
 	now := e.request.entry.now()
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -1,6 +1,7 @@
 package exit
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"sassafrasnotch.example/coord/admission"
@@ -62,6 +63,7 @@
 	c.admissionID = e.lastAdmissionID
 	request := admission.Request{ID: c.admissionID, Deadline: c.deadline, Priority: int(c.head.Priority), Class: c.head.Route}
 	if c.head.MaxWaitMicros != nil {
+		request.Draw = rand.Float64()
 		request.Bounded, request.MaxWait = true, time.Duration(c.head.GetMaxWaitMicros())*time.Microsecond
 	}
 	if bound := e.latencyBound(c.head.Service, c.head.Route); bound > 0 {
@@ -159,6 +161,9 @@
 	if r.kind == responded {
 		e.crashes.markResponded(c.fingerprint, now)
 	}
+	if r.kind != callerGone {
+		c.target.admission.RecordResult(r.failed(), now)
+	}
 	c.target.deliver(c.target.admission.Complete(c.head.Route, elapsed, now))
 	e.mu.Unlock()
 	e.endInFlight()
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -315,6 +315,17 @@
 	return shortest
 }
 
+// failureRate returns the lowest recent failure rate of the version's targets here.
+func (e *Exit) failureRate(key versionKey, now time.Time) float64 {
+	lowest := 0.0
+	for i, t := range e.versions[key] {
+		if rate := t.admission.FailureRate(now); i == 0 || rate < lowest {
+			lowest = rate
+		}
+	}
+	return lowest
+}
+
 func (e *Exit) loadOf(key versionKey, now time.Time) Load {
 	var sum Load
 	for _, t := range e.versions[key] {
--- a/mesh/exit/callerrequest.go
+++ b/mesh/exit/callerrequest.go
@@ -108,12 +108,13 @@
 func (c *callerRequest) load() *peerpb.Load {
 	now := time.Now()
 	c.exit.mu.Lock()
-	load, wait := c.exit.loadOf(c.key, now), c.exit.wait(c.key, now)
+	load, wait, failures := c.exit.loadOf(c.key, now), c.exit.wait(c.key, now), c.exit.failureRate(c.key, now)
 	c.exit.mu.Unlock()
 	reported := &c.firstFrame.load
 	reported.Outstanding = int32(load.Outstanding)
 	reported.Queued = int32(load.Queued)
 	reported.Slots = int32(load.Slots)
 	reported.WaitMicros = wait.Microseconds()
+	reported.FailurePermille = uint32(failures * 1000)
 	return reported
 }
--- a/mesh/exit/dispatch.go
+++ b/mesh/exit/dispatch.go
@@ -36,6 +36,12 @@
 	crashed bool
 }
 
+// failed reports whether the target did not serve the request: it refused it, sent no complete
+// response or responded with a server error.
+func (r *result) failed() bool {
+	return r.kind != responded || r.status >= http.StatusInternalServerError
+}
+
 // dispatch sends the request to its target and the response to the caller.
 func (c *callerRequest) dispatch() result {
 	response, err := c.exchange(c.target.conns.get)
