Tell paused hosts from broken connections, and eject silent hosts at once

Change: a kept request dials its host meanwhile and is given up when the host accepts a new connection and the old one stays silent; keyed requests are not kept. What no host has room for goes where the wait is shortest. A host that fell silent is ejected by one such result and then gets one trial at a time.

--- a/coord/balance/group.go
+++ b/coord/balance/group.go
@@ -153,6 +153,15 @@
 	endpoint.health.eject(now)
 }
 
+// RecordSilence counts that the endpoint's host fell silent, or did not answer a dial in time. One
+// such result is enough for an ejection: it takes long to show, so that many requests would be
+// lost before several were counted, and after the ejection a single trial request shows whether
+// the host is back.
+func (g *Group) RecordSilence(endpoint *Endpoint, now time.Duration) {
+	endpoint.health.failures.Store(ejectionThreshold)
+	g.RecordFailure(endpoint, now)
+}
+
 func (g *Group) maxEjected() int { return g.size * maxEjectionPercent / 100 }
 
 func (g *Group) ejectedCount(now time.Duration) int {
--- a/coord/balance/search.go
+++ b/coord/balance/search.go
@@ -155,7 +155,7 @@
 	return nil
 }
 
-// shortest returns the endpoint with the lowest cost among those that were drawn, are in
+// shortest returns the endpoint with the shortest known wait among those that were drawn, are in
 // the list and have not queued the request, or nil if there is none.
 func (s *Search) shortest(list []*Endpoint, now time.Duration, excluded []string) *Endpoint {
 	var best *Endpoint
@@ -163,24 +163,18 @@
 		if !slices.Contains(list, endpoint) || slices.Contains(s.queued, endpoint) || slices.Contains(excluded, endpoint.Host) {
 			continue
 		}
-		if best == nil || s.cheaper(endpoint, best, now) {
+		if best == nil || endpoint.shorterWait(best, now) {
 			best = endpoint
 		}
 	}
 	return best
 }
 
-// cheaper reports whether a request is expected to wait less at a than at b. A failure counts as a
-// wait for the whole objective.
-func (s *Search) cheaper(a, b *Endpoint, now time.Duration) bool {
-	waitA, waitB := s.cost(a, now), s.cost(b, now)
-	if waitA != waitB {
-		return waitA < waitB
+// shorterWait reports whether a request is expected to wait less at e than at other.
+func (e *Endpoint) shorterWait(other *Endpoint, now time.Duration) bool {
+	wait, otherWait := e.Wait(now), other.Wait(now)
+	if wait != otherWait {
+		return wait < otherWait
 	}
-	return a.Load(now) < b.Load(now)
-}
-
-func (s *Search) cost(endpoint *Endpoint, now time.Duration) time.Duration {
-	objective := max(s.objective, time.Second)
-	return endpoint.Wait(now) + time.Duration(endpoint.FailureRate(now)*float64(objective))
+	return e.Load(now) < other.Load(now)
 }
--- a/coord/balance/search_test.go
+++ b/coord/balance/search_test.go
@@ -297,3 +297,39 @@
 		is.Equal(balance.NewSearch(group, 0).Next(random, time.Second, nil).Endpoint.Host, "busy")
 	}
 }
+
+// A host that fell silent is ejected at once, and gets one trial request at a time until it
+// responds.
+func TestSilentHostGetsOneTrialAtATime(t *testing.T) {
+	is := is.New(t)
+	var members []gossip.Member
+	for _, host := range []string{"silent", "well"} {
+		target := gossip.Target{Service: "s", Version: "v", Slots: 10}
+		members = append(members, gossip.Member{Record: gossip.Record{Host: host, Zone: "a", Targets: []gossip.Target{target}}})
+	}
+	group := balance.NewIndex(balance.Locality{Zone: "a"}, members, nil).Group("s", "v")
+	random := rand.New(rand.NewPCG(1, 1))
+	picks := func(now time.Duration) (silent *balance.Endpoint, count int) {
+		for range 50 {
+			if endpoint := balance.NewSearch(group, 0).Next(random, now, nil).Endpoint; endpoint.Host == "silent" {
+				silent, count = endpoint, count+1
+			}
+		}
+		return silent, count
+	}
+	endpoint, count := picks(time.Second)
+	is.True(count > 5)
+	group.RecordSilence(endpoint, time.Second)
+	_, count = picks(1500 * time.Millisecond)
+	is.Equal(count, 0)
+	_, count = picks(2100 * time.Millisecond)
+	is.Equal(count, 1)
+	group.RecordSilence(endpoint, 2200*time.Millisecond)
+	_, count = picks(4 * time.Second) // the second ejection lasts twice as long
+	is.Equal(count, 0)
+	_, count = picks(4300 * time.Millisecond)
+	is.Equal(count, 1)
+	group.RecordSuccess(endpoint)
+	_, count = picks(4400 * time.Millisecond)
+	is.True(count > 5)
+}
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -57,7 +58,7 @@
 	if err := stream.Send(e.requestHead()); err != nil {
 		return unknown(e.lossReason(), stepSend, err.Error()).withPeer(e.endpoint.Host)
 	}
-	if e.request.route.Repeat != revision.RepeatIdempotent {
+	if e.request.route.Repeat == revision.RepeatNever {
 		stream.KeepThroughSilence(e.recordSilence)
 	}
 	e.upload = e.request.startUpload(stream, e.attempt)
@@ -122,7 +123,9 @@
 	if e.request.cancelled() || !time.Now().Before(e.request.deadline) {
 		return refused(ReasonExpired, stepOpen, err.Error()).withPeer(e.endpoint.Host)
 	}
-	return refused(ReasonUnreachable, stepOpen, err.Error()).withPeer(e.endpoint.Host)
+	failed := refused(ReasonUnreachable, stepOpen, err.Error()).withPeer(e.endpoint.Host)
+	failed.silent = isTimeout(err) || errors.Is(err, context.DeadlineExceeded)
+	return failed
 }
 
 // lossReason distinguishes a stream lost to the caller's disconnect or to the deadline from
@@ -161,7 +164,9 @@
 	if broken := e.uploadFailure(); broken != nil {
 		return broken
 	}
-	return unknown(e.lossReason(), stepAwait, err.Error()).withPeer(e.endpoint.Host)
+	failed := unknown(e.lossReason(), stepAwait, err.Error()).withPeer(e.endpoint.Host)
+	failed.silent = failed.reason == ReasonLost && isTimeout(err)
+	return failed
 }
 
 // uploadFailure returns the failure of a streamed body that the caller did not send whole.
@@ -220,7 +225,7 @@
 func (e *exchange) recordSilence() {
 	now := e.request.entry.now()
 	e.endpoint.Avoid(now)
-	e.choice.Group.RecordFailure(e.endpoint, now)
+	e.choice.Group.RecordSilence(e.endpoint, now)
 }
 
 // recordHealth records what the attempt shows about the endpoint's health.
@@ -233,6 +238,8 @@
 		// A deadline that the caller set earlier than the route's shows nothing about the host.
 	case failed == nil && !e.truncated && e.status < http.StatusInternalServerError:
 		e.choice.Group.RecordSuccess(e.endpoint)
+	case failed != nil && failed.silent:
+		e.choice.Group.RecordSilence(e.endpoint, now)
 	case failed == nil || failed.reason.countsAgainstHost():
 		e.choice.Group.RecordFailure(e.endpoint, now)
 	}
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -72,6 +72,8 @@
 	// byAdmission means that admission control of the host refused the request: it reached no
 	// target there.
 	byAdmission bool
+	// silent means that the host sent nothing in time, as opposed to a connection that was closed.
+	silent bool
 }
 
 // withoutTarget reports whether the host had no target to run the request, so that the
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -161,7 +161,7 @@
 	if r.kind == responded {
 		e.crashes.markResponded(c.fingerprint, now)
 	}
-	if r.kind != callerGone {
+	if r.kind == responded || c.ctx.Err() == nil { // a deadline shows nothing about the target
 		c.target.admission.RecordResult(r.failed(), now)
 	}
 	c.target.deliver(c.target.admission.Complete(c.head.Route, elapsed, now))
--- a/mesh/peer/keepalive.go
+++ b/mesh/peer/keepalive.go
@@ -50,8 +50,8 @@
 }
 
 // KeepThroughSilence makes the exchange last to the deadline of the stream though the other end
-// falls silent: it may only be paused, and a request that must not be repeated gains nothing if it
-// is given up earlier. The function is called in Receive at the first silence. It applies to the
+// falls silent, unless only the connection does: the other end may be paused, and a request that
+// must not be repeated gains nothing if it is given up earlier. The function is called in Receive at the first silence. It applies to the
 // request sent last, on the dialing side, and needs a deadline.
 func (s *Stream) KeepThroughSilence(onSilence func()) { s.onSilence = onSilence }
 
@@ -79,8 +79,21 @@
 			return err
 		}
 		s.onSilence()
-		s.resetReadDeadline()
-		if _, err := s.reader.Peek(1); err != nil {
+		if err := s.waitThroughSilence(); err != nil {
+			return err
+		}
+	}
+}
+
+// waitThroughSilence waits for the first byte of a frame until the deadline of the stream. It ends
+// the wait earlier if the other end accepts a new connection and still sends nothing on this one:
+// then the connection is broken, and the other end is not paused.
+func (s *Stream) waitThroughSilence() error {
+	for {
+		alive := s.pool.probe(maxSilentIntervals * s.keepaliveInterval)
+		s.setFrameDeadline()
+		_, err := s.reader.Peek(1)
+		if err == nil || alive || !s.silent(err) {
 			return err
 		}
 	}
--- a/mesh/peer/streampool.go
+++ b/mesh/peer/streampool.go
@@ -106,6 +106,18 @@
 	return s, nil
 }
 
+// probe reports whether the host accepts a new connection within the time.
+func (p *streamPool) probe(timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	s, err := p.dial(ctx)
+	if err != nil {
+		return false
+	}
+	s.conn.Close()
+	return true
+}
+
 // putIdle ends the use of a stream whose exchange is complete. It keeps the stream as idle, or
 // closes it if there are maxIdleStreams or the pool is closed.
 func (p *streamPool) putIdle(s *Stream) {
