Remember departed targets over a restart of their daemon

Cause: that a target is leaving, or was withdrawn, was known to the process of the daemon beside it only. After a restart an announcement that had been delayed, of a target that had left, opened it again; a fresh process can't tell it from one of a target that stays.

Ruled out: the host's gossip record at the others (it lists no target that was withdrawn, and no instance); refusing early announcements for a time after each start (a restart would cost the service its target for as long).

One write for each departure, shared by those within 50 ms.

--- a/mesh/daemon/hosts.go
+++ b/mesh/daemon/hosts.go
@@ -12,6 +12,7 @@
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/rendezvous"
 	"sassafrasnotch.example/coord/store"
+	"sassafrasnotch.example/mesh/exit"
 	"sassafrasnotch.example/mesh/membership"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/settings"
@@ -27,6 +28,8 @@
 	hostTimeout           = 3 * time.Second  // of an exchange
 	bootstrapInterval     = 5 * time.Second  // between scans while no other member is known
 	maxDeletesPerExchange = 16               // expired rows
+	// departureDelay is the time for which a departure waits for others that share the write.
+	departureDelay = 50 * time.Millisecond
 )
 
 // hostRow is the value of a host's row in the store. The rows provide the addresses from which the
@@ -38,6 +41,8 @@
 	// Incarnation is that of the daemon that wrote the row. The next start of the daemon uses a
 	// higher one, whatever its clock reads.
 	Incarnation uint64 `json:"incarnation"`
+	// Departed lists the targets of the host that left lately, for the next start of the daemon.
+	Departed []exit.Departure `json:"departed,omitempty"`
 }
 
 // hostRows refreshes the row of this host and reads those of the others.
@@ -46,19 +51,32 @@
 	key     string  // of the row of this host
 	self    hostRow // without time and incarnation
 	backing store.Store
+	exit    *exit.Exit
+	changed chan struct{} // holds a signal after a target has left
 	logger  *zap.Logger
+	// restored is set once the row that an earlier process wrote was read.
+	restored bool
 }
 
 var hostsModule = fx.Provide(newHostRows)
 
-func newHostRows(identity peer.Identity, s settings.Settings, backing store.Store, logger *zap.Logger) *hostRows {
-	return &hostRows{
+func newHostRows(identity peer.Identity, s settings.Settings, backing store.Store, requests *exit.Exit, logger *zap.Logger) *hostRows {
+	h := &hostRows{
 		host:    identity.Host,
 		key:     hostPrefix + identity.Host,
 		self:    hostRow{Zone: identity.Zone, GossipAddress: firstNonEmpty(s.Gossip.Advertise, s.Gossip.Listen)},
 		backing: backing,
+		exit:    requests,
+		changed: make(chan struct{}, 1),
 		logger:  logger.Named("hosts"),
 	}
+	requests.OnDeparture(func() {
+		select {
+		case h.changed <- struct{}{}:
+		default:
+		}
+	})
+	return h
 }
 
 // run refreshes the row of this host and bootstraps the membership until the context ends.
@@ -76,12 +94,27 @@
 				wait = hostRefreshInterval
 			}
 		}
-		if !sleep(ctx, wait/2+rand.N(wait)) {
+		if !h.awaitNext(ctx, wait/2+rand.N(wait)) {
 			return
 		}
 	}
 }
 
+// awaitNext waits until the time is over or a target has left, and reports whether the context is
+// still active.
+func (h *hostRows) awaitNext(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	case <-h.changed:
+		return sleep(ctx, departureDelay)
+	}
+}
+
 // countOthers returns the number of members other than this host.
 func countOthers(members []gossip.Member) int { return len(members) - 1 }
 
@@ -97,26 +130,31 @@
 	}
 }
 
-// exchange writes the row of this host. A host that knows no other member and the first host of its
-// zone also scan all rows, to find seeds and to delete expired rows. The other hosts don't, because
-// the scan would be most of their control traffic.
+// exchange writes the row of this host. At its start, while it knows no other member, and as the
+// first host of its zone, it also scans all rows, to find its earlier row and seeds and to delete
+// expired rows. The other hosts don't, because the scan would be most of their control traffic.
 func (h *hostRows) exchange(ctx context.Context, members *membership.Membership) error {
 	ctx, cancel := context.WithTimeout(ctx, hostTimeout)
 	defer cancel()
 	now := time.Now()
 	var expired []string
-	if known := members.Members(); countOthers(known) == 0 || h.isFirstInZone(known) {
+	if known := members.Members(); !h.restored || countOthers(known) == 0 || h.isFirstInZone(known) {
 		result, err := h.scan(ctx, now)
 		if err != nil {
 			return err
 		}
 		members.RaiseIncarnation(result.incarnation)
+		if !h.restored {
+			h.exit.RestoreDepartures(result.departed)
+			h.restored = true
+		}
 		members.SetSeeds(result.seeds)
 		expired = result.expired
 	}
 	row := h.self
 	row.At = now.UTC()
 	row.Incarnation = h.incarnation(members.Members())
+	row.Departed = h.exit.Departures()
 	value, err := json.Marshal(row)
 	if err != nil {
 		return err
@@ -153,9 +191,10 @@
 
 // scanResult holds the content of the rows of all hosts.
 type scanResult struct {
-	seeds       []string // gossip addresses of the other hosts
-	expired     []string // keys of the rows of other hosts that are older than hostExpiry
-	incarnation uint64   // of this host's earlier start, 0 if there is none
+	seeds       []string         // gossip addresses of the other hosts
+	expired     []string         // keys of the rows of other hosts that are older than hostExpiry
+	incarnation uint64           // of this host's earlier start, 0 if there is none
+	departed    []exit.Departure // that this host's earlier start recorded
 }
 
 // scan reads the rows of all hosts. Expired rows provide seeds too, because every row is old after
@@ -174,6 +213,7 @@
 		}
 		if row.Key == h.key {
 			result.incarnation = host.Incarnation
+			result.departed = host.Departed
 			continue
 		}
 		result.seeds = append(result.seeds, host.GossipAddress)
--- a/mesh/daemon/hosts_test.go
+++ b/mesh/daemon/hosts_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +13,8 @@
 
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/store"
+	"sassafrasnotch.example/mesh/admin"
+	"sassafrasnotch.example/mesh/exit"
 	"sassafrasnotch.example/mesh/membership"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/settings"
@@ -32,6 +36,47 @@
 	return m
 }
 
+func newExit(identity peer.Identity) *exit.Exit {
+	return exit.New(settings.Default().Exit, identity, zap.NewNop())
+}
+
+// A target that left must not be used again after a restart of the daemon beside it, when an
+// announcement that was delayed arrives.
+func TestDeparturesOutliveARestart(t *testing.T) {
+	is := is.New(t)
+	backing := store.NewMemory()
+	announcement := admin.Announcement{
+		Instance: "t1", Service: "desk", Version: "v1", Address: "127.0.0.1:9", Slots: 4,
+		Incarnation: uint64(time.Now().Add(-time.Hour).UnixMilli()), Sequence: 1,
+	}
+	identity := peer.Identity{Host: "host", Zone: "a", Incarnation: 1}
+	first := newExit(identity)
+	rows := newHostRows(identity, settings.Default(), backing, first, zap.NewNop())
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		rows.run(ctx, startMembership(t, identity))
+	}()
+	is.NoErr(first.Announce(announcement))
+	first.Withdraw("t1")
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if row, err := backing.Get(t.Context(), rows.key); err == nil && strings.Contains(string(row.Value), `"t1"`) {
+			break
+		}
+		is.True(time.Now().Before(deadline))
+	}
+	cancel()
+	<-ended
+
+	identity.Incarnation = 2
+	second := newExit(identity)
+	restarted := newHostRows(identity, settings.Default(), backing, second, zap.NewNop())
+	is.NoErr(restarted.exchange(t.Context(), startMembership(t, identity)))
+	is.True(errors.Is(second.Announce(announcement), exit.ErrStaleAnnouncement))
+	is.Equal(len(second.Targets()), 0)
+}
+
 // If the clock is set back between two starts, the incarnation that a daemon derives from it is
 // lower than that of the earlier start, which the row of the host still records. The later start
 // must have the higher incarnation nevertheless. Seeds must be found although another row can't be
@@ -49,7 +94,7 @@
 	for _, clock := range incarnations {
 		identity := peer.Identity{Host: "host", Zone: "a", Incarnation: clock}
 		members := startMembership(t, identity)
-		rows := newHostRows(identity, settings.Default(), backing, zap.NewNop())
+		rows := newHostRows(identity, settings.Default(), backing, newExit(identity), zap.NewNop())
 		is.NoErr(rows.exchange(t.Context(), members))
 		current := rows.incarnation(members.Members())
 		is.True(current > previous)
@@ -61,7 +106,7 @@
 		is.Equal(written.Incarnation, current)
 	}
 	identity := peer.Identity{Host: "host", Zone: "a"}
-	result, err := newHostRows(identity, settings.Default(), backing, zap.NewNop()).scan(t.Context(), time.Now())
+	result, err := newHostRows(identity, settings.Default(), backing, newExit(identity), zap.NewNop()).scan(t.Context(), time.Now())
 	is.NoErr(err)
 	is.Equal(result.seeds, []string{"127.0.0.1:9"})
 	is.Equal(result.incarnation, previous)
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		return steperr.Wrap(err, "announce", a.Instance)
 	}
+	e.notifyDeparture()
 	e.notifyChange()
 	return nil
 }
@@ -60,6 +61,9 @@
 	t.Slots = a.Slots
 	t.Sequence = a.Sequence
 	t.admission.SetSlots(a.Slots)
+	if a.Leaving {
+		e.recordDeparture(a.Instance, a.Incarnation, now)
+	}
 	if (a.Leaving || e.leaving) && !t.Leaving {
 		t.startLeaving()
 		e.log.Info("target is leaving", zap.String("instance", t.Instance), zap.Uint64("sequence", a.Sequence),
@@ -190,7 +194,9 @@
 		e.removeTarget(t)
 	}
 	e.withdrawals[instance] = withdrawn
+	e.recordDeparture(instance, withdrawn.incarnation, now)
 	e.mu.Unlock()
+	e.notifyDeparture()
 	e.notifyChange()
 }
 
@@ -213,6 +219,11 @@
 			delete(e.withdrawals, instance)
 		}
 	}
+	for instance, departed := range e.departures {
+		if now.Sub(departed.At) > withdrawalRetention {
+			delete(e.departures, instance)
+		}
+	}
 	e.mu.Unlock()
 	e.notifyChange()
 }
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -37,6 +37,9 @@
 	targets         map[string]*target // by instance
 	versions        map[versionKey][]*target
 	withdrawals     map[string]withdrawal // withdrawn targets, by instance
+	departures      map[string]Departure  // by instance
+	departed        bool                  // a departure was recorded and not yet notified
+	onDeparture     func()
 	crashes         crashTracker
 	onChange        func([]gossip.Target)
 	onCrash         func(CrashReport)
@@ -80,6 +83,8 @@
 		latencyBound: func(string, string) time.Duration { return 0 },
 		conventions:  DefaultConventions,
 		withdrawals:  make(map[string]withdrawal),
+		departures:   make(map[string]Departure),
+		onDeparture:  func() {},
 		outcomes:     newOutcomes(self.Zone),
 		targets:      make(map[string]*target),
 		versions:     make(map[versionKey][]*target),
