End a stopping daemon before its drain timeout is over

Change: requests may end in 0.92 of the timeout.

TestStopEndsWithinTheDrainTimeout failed before (4.006 s of 4 s) and passes now.

--- a/integration/requests_stop_test.go
+++ b/integration/requests_stop_test.go
@@ -130,3 +130,25 @@
 	r.checkSucceeded(begin.Add(-steadyTraffic), time.Time{})
 	checkCleanExit(t, r.targets[2].Process)
 }
+
+// TestStopEndsWithinTheDrainTimeout checks that a daemon whose requests outlast the drain timeout
+// ends by itself before that time: whoever supervises it kills it then, with what it still had to
+// close and to log.
+func TestStopEndsWithinTheDrainTimeout(t *testing.T) {
+	t.Parallel()
+	const drainTimeout = 4 * time.Second
+	r := newRequestTest(t, requestTestOptions{seed: 1, zones: 1, hosts: 2,
+		target:   func(config *targetserver.Config) { config.WorkDuration = revision.Duration(30 * time.Second) },
+		settings: func(s *settings.Settings) { s.Exit.DrainTimeout = revision.Duration(drainTimeout) },
+	})
+	r.startLoad(r.mixedLoad(20, r.Daemons[1]))
+	r.sleep(time.Second)
+	began := time.Now()
+	r.Daemons[0].Terminate()
+	_ = r.Daemons[0].Wait(t) // the requests in flight are an error
+	if took := time.Since(began); took >= drainTimeout {
+		t.Errorf("the daemon took %v to stop", took)
+	}
+	r.Daemons[1].Kill()
+	r.stopLoad()
+}
--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -182,12 +182,16 @@
 // daemon that leaves continues to respond to requests during this time, with refusals.
 const leavePropagation = 500 * time.Millisecond
 
+// drainFraction is the part of the drain timeout in which requests may end. The rest is for closing
+// ports and ending the background work, so that the process ends before it is killed.
+const drainFraction = 0.92
+
 // stop hands over the rollouts that this host controls. While callers learn that the daemon stops,
 // it continues to serve requests, also with the targets of this host. Then it sends the leave
 // notice to the other daemons, refuses new requests and finishes those in flight. Only after that
 // it closes the ports and ends the background work.
 func (l *lifecycle) stop(ctx context.Context) error {
-	drainCtx, cancel := context.WithTimeout(ctx, l.Settings.Exit.DrainTimeout.Std())
+	drainCtx, cancel := context.WithTimeout(ctx, time.Duration(drainFraction*float64(l.Settings.Exit.DrainTimeout.Std())))
 	defer cancel()
 	l.Readiness.stop()
 	l.Controller.Resign()
