Read all rows of the store only where the change feed can't bring them

Cause: in a series of changes a reader heard by gossip of a version that its own feed was about to deliver, and read all rows at once, twice as many calls as the feed; each read of the operators' rows also read those of all moves, though the orders were known.

Ruled out: fewer readers a zone (a follower's exchanges would pass the control budget of a reader).

Change: a revision that gossip reports has half of the apply bound to come by the feed; the rows of moves are read with all rows only for orders that are not held.

--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -46,6 +46,11 @@
 // membership which host reads the store for it, and needs no request.
 const startPauseFraction = 0.6
 
+// rereadDelayFraction is the fraction of Timing.ApplyWithin for which a daemon that follows the store
+// waits for a revision that gossip reported. It is longer than the pause after a change, behind which
+// the change feed mostly delivers the revision.
+const rereadDelayFraction = 0.5
+
 // Source maintains the daemon's copy of the configuration. Once started, it is safe for
 // concurrent use.
 type Source struct {
@@ -168,12 +173,21 @@
 	case s.followsReader():
 		s.goroutines.Go(func() { s.fetch(revision, host, s.applyFraction(fetchDelayFraction)) })
 	case s.followsStore.Load():
-		signal(s.reread) // the connection of the change feed may have stopped delivering
+		s.goroutines.Go(func() { s.rereadUnlessApplied(revision, s.applyFraction(rereadDelayFraction)) })
 	default:
 		s.goroutines.Go(func() { s.fetch(revision, host, 0) })
 	}
 }
 
+// rereadUnlessApplied makes the goroutine that follows the store read all rows if the revision is
+// not in force after the wait: the connection of the change feed may have stopped delivering.
+func (s *Source) rereadUnlessApplied(revision uint64, wait time.Duration) {
+	sleep(s.stopped, wait)
+	if !s.hasApplied(revision) && s.stopped.Err() == nil {
+		signal(s.reread)
+	}
+}
+
 // fetch pulls a revision from the host that reported it if the revision is not in force after the
 // wait. If it isn't in force after the pull either, the daemon reads the store.
 func (s *Source) fetch(revision uint64, host string, wait time.Duration) {
@@ -250,11 +264,12 @@
 	}
 }
 
-// readAll reads the rows of operators. If there are orders, it also reads the rows of rollouts and
-// applies those first, so that a starting daemon doesn't take a finished rollout for a new one.
+// readAll reads the rows of operators. If there are orders that are not known yet, it also reads the
+// rows of rollouts and applies those first, so that a starting daemon doesn't take a finished
+// rollout for a new one. Those of known orders are followed by followRollouts while they run.
 func (s *Source) readAll(ctx context.Context) (OperatorChanges, error) {
 	changes, err := s.operator.Read(ctx)
-	if err != nil || len(changes.Orders) == 0 {
+	if err != nil || s.knowsOrders(changes.Orders) {
 		return changes, err
 	}
 	rollouts, err := s.rollouts.ReadRollouts(ctx)
@@ -266,6 +281,18 @@
 	return changes, nil
 }
 
+// knowsOrders reports whether all the orders are held already.
+func (s *Source) knowsOrders(orders []RolloutOrder) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, order := range orders {
+		if held, ok := s.state.orders[order.Service]; !ok || held.StoreVersion < order.StoreVersion {
+			return false
+		}
+	}
+	return true
+}
+
 // followRollouts keeps the rows of rollouts current while a rollout is running. At other times it
 // sends no requests to the store.
 func (s *Source) followRollouts(ctx context.Context) {
--- a/mesh/source/source_test.go
+++ b/mesh/source/source_test.go
@@ -30,9 +30,13 @@
 	rollouts RolloutChanges
 	changed  chan struct{} // closed at the next write
 	latency  time.Duration // of a read of all rows
+	delay    time.Duration // of changes that a call of Await finds
 	trimmed  bool          // makes the next Await return store.ErrTrimmed
 	failing  int           // number of the next reads that fail
 	reads    int           // number of reads so far
+	awaited  int           // number of those that a call of Await made
+	// rolloutReads is the number of reads of all rows of rollouts so far.
+	rolloutReads int
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{changed: make(chan struct{})} }
@@ -82,19 +86,23 @@
 
 func (r *fakeStore) Await(ctx context.Context, after uint64, wait time.Duration) (OperatorChanges, error) {
 	r.mu.Lock()
-	changes, changed, trimmed := r.changes, r.changed, r.trimmed
+	changes, changed, trimmed, delay := r.changes, r.changed, r.trimmed, r.delay
 	r.trimmed = false
 	r.mu.Unlock()
 	if trimmed {
 		return OperatorChanges{}, store.ErrTrimmed
 	}
 	if changes.Through > after {
-		return changes, nil
+		sleep(ctx, delay)
+		return changes, ctx.Err()
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	select {
 	case <-changed:
+		r.mu.Lock()
+		r.awaited++
+		r.mu.Unlock()
 		return r.Read(context.Background())
 	case <-ctx.Done():
 		return OperatorChanges{Through: after}, ctx.Err()
@@ -104,6 +112,7 @@
 func (r *fakeStore) ReadRollouts(context.Context) (RolloutChanges, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.rolloutReads++
 	return r.rollouts, nil
 }
 
@@ -224,6 +233,51 @@
 	eventually(t, "the next configuration", func() bool { return s.number() == 5 })
 }
 
+// In a series of changes, gossip tells of each before the change feed delivers it. That causes no
+// read of all rows.
+func TestRevisionThatTheFeedDeliversCausesNoRead(t *testing.T) {
+	is := is.New(t)
+	r := newFakeStore()
+	r.delay = 50 * time.Millisecond
+	r.configure(4, "/a/")
+	s := follow(t, r)
+	eventually(t, "the first configuration", func() bool { return s.number() == 4 })
+	time.Sleep(s.applyFraction(startPauseFraction))
+	for number := uint64(5); number < 12; number++ {
+		r.configure(number, "/a/")
+		s.ObserveRevision(r.version, "other")
+		time.Sleep(100 * time.Millisecond)
+	}
+	eventually(t, "the last configuration", func() bool { return s.number() == 11 })
+	time.Sleep(s.applyFraction(2 * rereadDelayFraction))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	is.Equal(r.reads-r.awaited, 1) // that of the start
+}
+
+// The rows of rollouts are read with all rows only for orders that are not held yet.
+func TestKnownOrdersCauseNoReadOfRollouts(t *testing.T) {
+	is := is.New(t)
+	r := newFakeStore()
+	r.configure(4, "/a/")
+	s := New(Self{}, r, r, noMembers{}, nil, Timing{ApplyWithin: time.Second}, zap.NewNop())
+	order := func(version uint64) RolloutOrder {
+		return RolloutOrder{Service: "desk", Version: "v2", Within: time.Minute, StoreVersion: version}
+	}
+	for _, c := range []struct {
+		orders []RolloutOrder
+		reads  int
+	}{{nil, 0}, {[]RolloutOrder{order(7)}, 1}, {[]RolloutOrder{order(7)}, 1}, {[]RolloutOrder{order(9)}, 2}} {
+		r.mu.Lock()
+		r.changes.Orders = c.orders
+		r.mu.Unlock()
+		changes, err := s.readAll(t.Context())
+		is.NoErr(err)
+		s.applyOperator(changes)
+		is.Equal(r.rolloutReads, c.reads)
+	}
+}
+
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	is := is.New(t)
 	state := newRowState(time.Second)
