--- a/mesh/peer/keepalive_test.go
+++ b/mesh/peer/keepalive_test.go
@@ -225,9 +225,13 @@
 		s := peerSettings()
 		s.Keepalive = revision.Duration(100 * time.Millisecond)
 		var r *pausedRelay
+		resumed := make(chan struct{})
 		_, address, pool := startServer(t, s, requestHandlerFunc(func(ctx context.Context, frame *peerpb.CallFrame, stream *peer.Stream) bool {
 			r.mutex.Lock()
-			time.AfterFunc(pause, r.mutex.Unlock)
+			time.AfterFunc(pause, func() {
+				r.mutex.Unlock()
+				close(resumed)
+			})
 			return echoRequest(ctx, frame, stream)
 		}))
 		r = newPausedRelay(t, address)
@@ -249,7 +253,6 @@
 			is.True(err != nil)
 		}
 		stream.Discard()
-		r.mutex.Lock() // until the pause has ended
-		r.mutex.Unlock()
+		<-resumed
 	}
 }
--- a/mesh/settings/template_test.go
+++ b/mesh/settings/template_test.go
@@ -20,8 +20,7 @@
 	}
 	for _, number := range []string{"6", "6.25"} {
 		rendered := regexp.MustCompile(`{{(.+?)}}`).ReplaceAllFunc(template, func(placeholder []byte) []byte {
-			name := string(placeholder[2 : len(placeholder)-2])
-			if value, ok := values[name]; ok {
+			if value, ok := values[string(placeholder[2:len(placeholder)-2])]; ok {
 				return []byte(value)
 			}
 			return []byte(number)
