Ask failing hosts for a free slot before queueing at one of them

Change: the penalty is for the comparison of two hosts only; whether a host is full follows from its load.

TestFailingHostsAreStillAsked failed before.

--- a/coord/balance/doc.go
+++ b/coord/balance/doc.go
@@ -6,8 +6,8 @@
 // monotonic time since an origin that the caller selects.
 //
 // For each request, the caller calls Plan.Choose for the version and then, for each attempt,
-// Group.Pick and Endpoint.Begin; Endpoint.Observe if the host reported its load; and
-// Endpoint.End when the attempt has ended. Group.RecordSuccess counts a result that shows the
+// Search.Next, or Group.Pick to choose without offers, and Endpoint.Begin; Endpoint.Observe if
+// the host reported its load; and Endpoint.End when the attempt has ended. Group.RecordSuccess counts a result that shows the
 // endpoint as healthy, and Group.RecordFailure one that shows it as unhealthy, which leads to
 // an ejection after ejectionThreshold in a row, or after one during a probation.
 // Endpoint.Avoid, alone or in addition, applies if the host reported that it accepts no work or
--- a/coord/balance/group.go
+++ b/coord/balance/group.go
@@ -108,15 +108,11 @@
 	if first == nil {
 		return nil, 0
 	}
-	firstLoad := first.Load(now)
 	second := drawEndpoint(tier, random, now, attempted, eligible, first)
-	if second == nil {
-		return first, firstLoad
+	if second != nil && second.penalizedLoad(now) < first.penalizedLoad(now) {
+		return second, second.Load(now)
 	}
-	if secondLoad := second.Load(now); secondLoad < firstLoad {
-		return second, secondLoad
-	}
-	return first, firstLoad
+	return first, first.Load(now)
 }
 
 // drawEndpoint returns the first eligible endpoint from a random index on, other than
--- a/coord/balance/search_test.go
+++ b/coord/balance/search_test.go
@@ -333,3 +333,23 @@
 	_, count = picks(4400 * time.Millisecond)
 	is.True(count > 5)
 }
+
+// Where all hosts fail many requests, they are still asked for a free slot: without the answers a
+// request would queue by reports that have aged, and all requests at the same host.
+func TestFailingHostsAreStillAsked(t *testing.T) {
+	is := is.New(t)
+	var members []gossip.Member
+	for _, host := range []string{"a1", "a2"} {
+		target := gossip.Target{Service: "s", Version: "v", Slots: 12}
+		members = append(members, gossip.Member{Record: gossip.Record{Host: host, Zone: "a", Targets: []gossip.Target{target}}})
+	}
+	group := balance.NewIndex(balance.Locality{Zone: "a"}, members, nil).Group("s", "v")
+	for _, endpoint := range group.Endpoints() {
+		endpoint.Observe(balance.LoadReport{Outstanding: 2, FailureRate: 0.6, Slots: 12}, time.Second)
+	}
+	search := balance.NewSearch(group, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	is.True(search.Next(random, time.Second, nil).Bounded)
+	is.True(search.Next(random, time.Second, nil).Bounded)
+	is.True(!search.Next(random, time.Second, nil).Bounded)
+}
--- a/coord/balance/state.go
+++ b/coord/balance/state.go
@@ -87,9 +87,8 @@
 	e.avoidUntil.Store(int64(now + avoidDuration))
 }
 
-// Load returns the requests outstanding and queued at the endpoint, per slot, and the penalty for
-// failures. It includes the requests of other daemons and the penalty while the last report is
-// younger than reportMaxAge.
+// Load returns the requests outstanding and queued at the endpoint, per slot. It includes
+// those of other daemons while the last report is younger than reportMaxAge.
 func (e *Endpoint) Load(now time.Duration) float64 {
 	busy := e.outstanding.Load()
 	slots := int32(e.Slots)
@@ -97,7 +96,13 @@
 		busy += e.others.Load()
 		slots = e.slots.Load()
 	}
-	return float64(busy)/float64(max(slots, 1)) + failurePenalty*e.FailureRate(now)
+	return float64(busy) / float64(max(slots, 1))
+}
+
+// penalizedLoad returns the load by which two endpoints are compared: a failing one is not taken
+// for an idle one. Whether an endpoint is full depends on Load only.
+func (e *Endpoint) penalizedLoad(now time.Duration) float64 {
+	return e.Load(now) + failurePenalty*e.FailureRate(now)
 }
 
 // FailureRate returns the reported fraction of failed requests; 0 without a report younger than
