--- a/mesh/exit/endless_test.go
+++ b/mesh/exit/endless_test.go
@@ -28,7 +28,7 @@
 	const (
 		timeout     = 600 * time.Millisecond
 		toldWithin  = timeout + 2*time.Second // also on a busy machine
-		boundedRead = 8 << 20 // bytes: the limits of the exit and the buffers of the sockets
+		boundedRead = 8 << 20                 // bytes: the limits of the exit and the buffers of the sockets
 	)
 	line := strings.Repeat("x", 1000)
 	cases := []struct {
