Keep requests whose caller has left away from hosts

When the caller closes its connection, the running request is cancelled, net/http writes its response, which succeeds once on a closed connection, and reads the next request from its buffer. That request's context has ended, but the stream pool hands a stream out without a look at it, and the request head may be sent before the stream is interrupted.

Ruled out: load.

Change: an attempt starts only while the caller is there.

--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -47,6 +47,10 @@
 
 // run makes the attempt. It returns nil if a response began.
 func (e *exchange) run() *failure {
+	// A stream from the pool is returned without a look at the context.
+	if err := e.request.ctx.Err(); err != nil {
+		return e.openFailure(err)
+	}
 	stream, err := e.openStream()
 	if err != nil {
 		return e.openFailure(err)
--- a/mesh/entry/pipeline_test.go
+++ b/mesh/entry/pipeline_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -212,6 +214,20 @@
 	}
 }
 
+// A request whose caller has left by the time of its turn reaches no host.
+func TestRequestOfADepartedCallerIsNotDispatched(t *testing.T) {
+	const requests = 200
+	for _, path := range []string{"/catalog/fast", "/order/fast"} {
+		p := newPipelineTest(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		for range requests {
+			p.f.entry.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodGet, path, nil))
+		}
+		p.is.Equal(p.host.runs(), 0)
+	}
+}
+
 func TestOnlyRepeatableRequestsAreStartedEarly(t *testing.T) {
 	for _, behind := range []string{get("/order/1"), post("/catalog/1", "swan"), post("/order/1", "swan")} {
 		p := newPipelineTest(t)
