Rejoin through any member that contacts a host which knows nobody

Cause: a host that restarts while the store, and with it the list of seeds, is unavailable knows nobody and waits until others contact it. It started a repair only with a member of its own zone whose probe it got. Where all members of its zone had restarted too, the probes of other zones' bridges taught it nothing, and it waited for a repair of the bridge (5 probe intervals on average). This is the failure of TestRestartWithoutTheStore, row "all daemons but one", in KNOWN-RED.txt.

Ruled out: load alone. With the start of each log kept, the failing hosts show no member but themselves in the 4 s, while they and the survivor tick in time.

Change: a host without an active member starts a repair with whoever probes it or sends it rumours, whatever the zone. Logs of failed integration tests keep their start as well as their end.

--- a/coord/gossip/node.go
+++ b/coord/gossip/node.go
@@ -115,22 +115,35 @@
 	if m.From.Host == "" || m.From.Host == n.self.record.Host || m.From.Address == "" {
 		return Output{}
 	}
-	known := n.table.hosts[m.From.Host] != nil
+	known, alone := n.table.hosts[m.From.Host] != nil, n.isAlone()
 	n.links.lastReceived[m.From.Zone] = now
 	n.mergeRumours(now, &m)
 	n.recordRevision(&m)
 	n.clearReachable(now, &m)
 	n.handle(now, &m, known)
+	if !known && n.rejoinsThrough(&m, alone) {
+		n.startRepairWith(m.From.Address)
+	}
 	return n.flush()
 }
 
+// rejoinsThrough reports whether this host starts a repair with the sender of a message, which is not
+// in its table: the sender has this host in its table from before a restart. A host that knew no
+// active member does so in any zone, since nobody else may contact it for long.
+func (n *Node) rejoinsThrough(m *Message, alone bool) bool {
+	switch m.Body.(type) {
+	case Probe:
+		return alone || m.From.Zone == n.self.record.Zone
+	case nil:
+		return alone
+	}
+	return false
+}
+
 func (n *Node) handle(now time.Time, m *Message, known bool) {
 	switch body := m.Body.(type) {
 	case Probe:
 		n.handleProbe(now, m, body)
-		if !known && m.From.Zone == n.self.record.Zone {
-			n.startRepairWith(m.From.Address)
-		}
 	case Ack:
 		n.handleAck(body)
 	case ProbeRequest:
--- a/integration/cluster/process.go
+++ b/integration/cluster/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os/exec"
 	"sync"
 	"syscall"
@@ -38,7 +39,7 @@
 	return b.buffer.String()
 }
 
-// start runs a program until the test ends, and then kills it. If the test failed it logs the suffix of
+// start runs a program until the test ends, and then kills it. If the test failed it logs the start and the end of
 // the program's output. The kernel kills the program if the test process dies.
 func start(t testing.TB, name, path string, args ...string) *Process {
 	t.Helper()
@@ -56,17 +57,22 @@
 	t.Cleanup(func() {
 		p.Kill()
 		if t.Failed() {
-			t.Logf("---- %s\n%s", name, logSuffix(p.log.String()))
+			t.Logf("---- %s\n%s", name, abridgedLog(p.log.String()))
 		}
 	})
 	return p
 }
 
-const logSuffixBytes = 6000 // of the output logged for a failed test
+// The output of a process that is logged for a failed test: its start, where a daemon says how it got
+// its configuration, and its end.
+const (
+	logStartBytes = 12000
+	logEndBytes   = 12000
+)
 
-func logSuffix(text string) string {
-	if len(text) > logSuffixBytes {
-		return text[len(text)-logSuffixBytes:]
+func abridgedLog(text string) string {
+	if omitted := len(text) - logStartBytes - logEndBytes; omitted > 0 {
+		return fmt.Sprintf("%s\n[%d bytes omitted]\n%s", text[:logStartBytes], omitted, text[len(text)-logEndBytes:])
 	}
 	return text
 }
