Place requests by the speed of hosts

Cause: hosts that differ threefold in speed were taken for equal.

Change: with its load a host reports the mean service time of the request's route. Entries relate it to the mean of all reports for that route, and compare four hosts per offer by load, failure rate and relative service time. What is full is decided by the load alone, as before.

--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -248,6 +248,15 @@
 	return 0
 }
 
+// ServiceTime returns the recent mean time for which requests of a class run, whatever its age; 0 if
+// none has completed.
+func (t *Target) ServiceTime(class string) time.Duration {
+	if estimate := t.classes[class]; estimate != nil {
+		return estimate.value
+	}
+	return 0
+}
+
 // RetryAfter estimates the time until a refused request could run: the delay of the whole
 // queue.
 func (t *Target) RetryAfter(now time.Time) time.Duration { return t.queueDelay(len(t.queue), now) }
--- a/coord/balance/group.go
+++ b/coord/balance/group.go
@@ -101,18 +101,30 @@
 	return best
 }
 
-// pickOfTwo draws two endpoints of a tier at random and returns the less loaded one with
-// its load.
+// pickOfTwo draws two endpoints of a tier at random and returns the better one by penalizedLoad,
+// with its load.
 func pickOfTwo(tier []*Endpoint, random Source, now time.Duration, attempted []string, eligible predicate) (*Endpoint, float64) {
-	first := drawEndpoint(tier, random, now, attempted, eligible, nil)
-	if first == nil {
+	best := pickBest(tier, 2, random, now, attempted, eligible)
+	if best == nil {
 		return nil, 0
 	}
-	second := drawEndpoint(tier, random, now, attempted, eligible, first)
-	if second != nil && second.penalizedLoad(now) < first.penalizedLoad(now) {
-		return second, second.Load(now)
+	return best, best.Load(now)
+}
+
+// pickBest draws count endpoints of a tier at random and returns the best one by penalizedLoad, or
+// nil if no endpoint is eligible.
+func pickBest(tier []*Endpoint, count int, random Source, now time.Duration, attempted []string, eligible predicate) *Endpoint {
+	best := drawEndpoint(tier, random, now, attempted, eligible, nil)
+	last := best
+	for range count - 1 {
+		if last = drawEndpoint(tier, random, now, attempted, eligible, last); last == nil {
+			break
+		}
+		if last.penalizedLoad(now) < best.penalizedLoad(now) {
+			best = last
+		}
 	}
-	return first, first.Load(now)
+	return best
 }
 
 // drawEndpoint returns the first eligible endpoint from a random index on, other than
--- a/coord/balance/search.go
+++ b/coord/balance/search.go
@@ -10,6 +10,10 @@
 	// it, that are asked whether a slot is free.
 	maxNearOffers = 3
 	maxFarOffers  = 2
+	// drawsPerOffer is the number of hosts of which the best by the reports at hand gets an offer. It
+	// is more than the two that suffice for loads, which are mostly unknown among hundreds of hosts,
+	// since speeds are mostly known: with four a host of the slowest quarter gets 1 in 256.
+	drawsPerOffer = 4
 	// maxQueueAttempts bounds the hosts at which a request asks for a place in the queue.
 	maxQueueAttempts = 2
 	// nearWaitFraction is the part of the latency objective that a request may wait near its
@@ -132,17 +136,18 @@
 	return s.eligible == nil || s.eligible(endpoint, now) || slices.Contains(s.seen, endpoint)
 }
 
-// drawFree returns the less loaded of two endpoints of a tier that have not been drawn yet. It
+// drawFree returns the best of drawsPerOffer endpoints of a tier that have not been drawn yet. It
 // skips those that lately reported all slots taken. At most limit endpoints are drawn in a phase.
 func (s *Search) drawFree(tier []*Endpoint, limit int, random Source, now time.Duration, excluded []string) *Endpoint {
 	undrawn := func(e *Endpoint, now time.Duration) bool {
 		return (s.eligible == nil || s.eligible(e, now)) && !slices.Contains(s.seen, e)
 	}
 	for s.made < limit {
-		endpoint, load := pickOfTwo(tier, random, now, excluded, undrawn)
+		endpoint := pickBest(tier, drawsPerOffer, random, now, excluded, undrawn)
 		if endpoint == nil {
 			return nil
 		}
+		load := endpoint.Load(now)
 		if s.eligible != nil && endpoint.health.onProbation(now) && !endpoint.health.startTrial(now) {
 			continue // another request has started the trial in the meantime
 		}
--- a/coord/balance/search_test.go
+++ b/coord/balance/search_test.go
@@ -22,6 +22,12 @@
 	utilization           float64
 	requests              int
 	objective             time.Duration
+	// speeds are those of the hosts in turn, 1 if empty. reportSpeeds makes hosts report their
+	// service times.
+	speeds       []float64
+	reportSpeeds bool
+	// constantWork is the part of the work, from 0 to 1, that is the same for all requests.
+	constantWork float64
 }
 
 var hundredsOfHosts = zoneLoad{entries: 39, hosts: 20, slots: 11, work: 900 * time.Millisecond, utilization: 0.85, requests: 40000, objective: 2500 * time.Millisecond}
@@ -54,11 +60,14 @@
 	random  *rand.Rand
 	groups  []*balance.Group
 	targets map[string]*admission.Target
+	speeds  map[string]float64
+	typical []*balance.ServiceTimes // by entry
 	events  zoneEvents
 	waiting map[uint64]zoneEvent
 	now     time.Duration
 
 	served, waited, refused, messages int
+	late                              int           // completed after the objective
 	wait                              time.Duration // sum over all requests
 }
 
@@ -112,16 +121,21 @@
 func (m *zoneModel) wall() time.Time { return time.Unix(1000, 0).Add(m.now) }
 
 func newZoneModel(load zoneLoad, seed uint64) *zoneModel {
-	m := &zoneModel{load: load, random: rand.New(rand.NewPCG(seed, 1)), targets: map[string]*admission.Target{}, waiting: map[uint64]zoneEvent{}}
+	m := &zoneModel{load: load, random: rand.New(rand.NewPCG(seed, 1)), targets: map[string]*admission.Target{}, speeds: map[string]float64{}, waiting: map[uint64]zoneEvent{}}
 	var members []gossip.Member
 	for i := range load.hosts {
 		name := fmt.Sprint("h", i)
 		m.targets[name] = admission.NewTarget(admission.Config{Slots: load.slots, QueueLength: 64}, m.wall())
+		m.speeds[name] = 1
+		if len(load.speeds) > 0 {
+			m.speeds[name] = load.speeds[i%len(load.speeds)]
+		}
 		target := gossip.Target{Service: "s", Version: "v", Slots: load.slots}
 		members = append(members, gossip.Member{Record: gossip.Record{Host: name, Zone: "a", Targets: []gossip.Target{target}}})
 	}
 	for range load.entries {
 		m.groups = append(m.groups, balance.NewIndex(balance.Locality{Zone: "a"}, members, nil).Group("s", "v"))
+		m.typical = append(m.typical, &balance.ServiceTimes{})
 	}
 	return m
 }
@@ -143,7 +157,7 @@
 		endpoint.Begin()
 		m.waiting[arrival.id] = arrival
 	default:
-		m.observe(endpoint)
+		m.observe(arrival)
 		return false
 	}
 	return true
@@ -156,17 +170,25 @@
 	if m.now > request.at {
 		m.waited++
 	}
-	request.duration = time.Duration(m.random.ExpFloat64() * float64(m.load.work))
+	work := (m.load.constantWork + (1-m.load.constantWork)*m.random.ExpFloat64()) * float64(m.load.work)
+	request.duration = time.Duration(work / m.speeds[request.host])
+	if m.now+request.duration-request.at > m.load.objective {
+		m.late++
+	}
 	request.at = m.now + request.duration
 	heap.Push(&m.events, request)
 }
 
-func (m *zoneModel) observe(endpoint *balance.Endpoint) {
-	target := m.targets[endpoint.Host]
+// observe reports the load of the request's host to its entry.
+func (m *zoneModel) observe(request zoneEvent) {
+	endpoint, target := request.endpoint, m.targets[request.host]
 	load := target.Load(m.wall())
 	endpoint.Observe(balance.LoadReport{
 		Outstanding: load.Outstanding, Queued: load.Queued, Slots: load.Slots, Wait: target.Wait(m.wall()),
 	}, m.clock())
+	if reported := target.ServiceTime(""); m.load.reportSpeeds && reported > 0 {
+		endpoint.ObserveServiceTime(reported, m.typical[request.entry].Add(balance.Class{}, reported), m.clock())
+	}
 }
 
 func (m *zoneModel) run(place placePolicy) {
@@ -187,7 +209,7 @@
 		}
 		event.endpoint.End()
 		actions := m.targets[event.host].Complete("", event.duration, m.wall())
-		m.observe(event.endpoint)
+		m.observe(event)
 		for _, action := range actions {
 			m.start(m.waiting[action.ID])
 			delete(m.waiting, action.ID)
--- a/coord/balance/state.go
+++ b/coord/balance/state.go
@@ -42,6 +42,7 @@
 	reportedAt  atomic.Int64 // nanoseconds since the origin of now; 0 before any report
 	avoidUntil  atomic.Int64 // nanoseconds since the origin of now
 	health      health
+	speed       speed
 }
 
 // Endpoint is one version of a service on one host.
@@ -100,9 +101,10 @@
 }
 
 // penalizedLoad returns the load by which two endpoints are compared: a failing one is not taken
-// for an idle one. Whether an endpoint is full depends on Load only.
+// for an idle one, and one that takes longer counts as busier. Whether an endpoint is full depends
+// on Load only.
 func (e *Endpoint) penalizedLoad(now time.Duration) float64 {
-	return e.Load(now) + failurePenalty*e.FailureRate(now)
+	return e.Load(now) + failurePenalty*e.FailureRate(now) + slownessPenalty*(e.RelativeServiceTime(now)-1)
 }
 
 // FailureRate returns the reported fraction of failed requests; 0 without a report younger than
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -222,7 +222,12 @@
 		Wait:        time.Duration(load.GetWaitMicros()) * time.Microsecond,
 		FailureRate: float64(load.GetFailurePermille()) / 1000,
 	}
-	e.endpoint.Observe(report, e.request.entry.now())
+	now := e.request.entry.now()
+	e.endpoint.Observe(report, now)
+	if service := time.Duration(load.GetServiceMicros()) * time.Microsecond; service > 0 {
+		typical := e.request.entry.routing.serviceTimes.Add(balance.Class{Service: e.request.service, Route: e.request.route.Name}, service)
+		e.endpoint.ObserveServiceTime(service, typical, now)
+	}
 }
 
 // recordSilence makes other requests avoid a host that fell silent while the request runs there.
--- a/mesh/entry/routing.go
+++ b/mesh/entry/routing.go
@@ -22,6 +22,7 @@
 	index         atomic.Pointer[balance.Index]
 	halts         atomic.Pointer[map[string]halt] // by service
 	plans         atomic.Pointer[map[string]*servicePlan]
+	serviceTimes  balance.ServiceTimes
 	// mutex serializes changes to the fields above.
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -337,6 +337,15 @@
 	return lowest
 }
 
+// serviceTime returns the longest recent mean service time of a route at the version's targets here.
+func (e *Exit) serviceTime(key versionKey, route string) time.Duration {
+	var longest time.Duration
+	for _, t := range e.versions[key] {
+		longest = max(longest, t.admission.ServiceTime(route))
+	}
+	return longest
+}
+
 func (e *Exit) loadOf(key versionKey, now time.Time) Load {
 	var sum Load
 	for _, t := range e.versions[key] {
--- a/mesh/exit/callerrequest.go
+++ b/mesh/exit/callerrequest.go
@@ -109,6 +109,7 @@
 	now := time.Now()
 	c.exit.mu.Lock()
 	load, wait, failures := c.exit.loadOf(c.key, now), c.exit.wait(c.key, now), c.exit.failureRate(c.key, now)
+	service := c.exit.serviceTime(c.key, c.head.Route)
 	c.exit.mu.Unlock()
 	reported := &c.firstFrame.load
 	reported.Outstanding = int32(load.Outstanding)
@@ -116,5 +117,6 @@
 	reported.Slots = int32(load.Slots)
 	reported.WaitMicros = wait.Microseconds()
 	reported.FailurePermille = uint32(failures * 1000)
+	reported.ServiceMicros = service.Microseconds()
 	return reported
 }
