Send requests to suspected hosts only where no others are left

Cause: that a host is silent was learned by each entry for itself, at the price of a request. With hundreds of hosts an entry sends to each host a few times a minute, so that throughout a cut of 12 s entries went on losing requests to hosts that the membership had suspected after three.

Ruled out: leaving suspects out of the index (a daemon that is cut off suspects all others and would have nobody left).

Change: a suspected host counts as unhealthy, like an ejected one: it is offered requests only if no other host remains.

--- a/coord/balance/group.go
+++ b/coord/balance/group.go
@@ -51,7 +51,7 @@
 }
 
 // Pick returns an endpoint whose host is not among attempted, or nil if there is none.
-// Endpoints that are ejected, avoided or on probation with a trial in progress are picked
+// Endpoints that are suspect, ejected, avoided or on probation with a trial in progress are picked
 // only if no other remains. Picking an endpoint on probation starts its trial, unless a trial
 // is in progress.
 func (g *Group) Pick(random Source, now time.Duration, attempted []string) *Endpoint {
@@ -72,10 +72,10 @@
 
 func anyHealth(*Endpoint, time.Duration) bool { return true }
 
-// healthy reports whether the endpoint is neither avoided nor ejected, and due for a trial if
-// it is on probation.
+// healthy reports whether the endpoint is neither suspect, avoided nor ejected, and due for a trial
+// if it is on probation.
 func (e *Endpoint) healthy(now time.Duration) bool {
-	if e.avoided(now) || e.health.ejected(now) {
+	if e.suspect || e.avoided(now) || e.health.ejected(now) {
 		return false
 	}
 	return !e.health.onProbation(now) || e.health.trialDue(now)
--- a/coord/balance/index.go
+++ b/coord/balance/index.go
@@ -131,6 +131,7 @@
 			Version:     version.Version,
 			Slots:       count,
 			State:       state,
+			suspect:     member.Status == gossip.Suspect,
 			incarnation: member.Incarnation,
 		})
 	}
--- a/coord/balance/search.go
+++ b/coord/balance/search.go
@@ -64,7 +64,7 @@
 }
 
 // Next returns the next offer, whose Endpoint is nil if none is left. Hosts in excluded receive
-// none. Endpoints that are ejected or avoided receive offers only if no other remains.
+// none. Endpoints that are suspect, ejected or avoided receive offers only if no other remains.
 func (s *Search) Next(random Source, now time.Duration, excluded []string) Offer {
 	for {
 		if offer := s.next(random, now, excluded); offer.Endpoint != nil {
--- a/coord/balance/state.go
+++ b/coord/balance/state.go
@@ -58,6 +58,8 @@
 	Slots int
 	*State
 
+	// suspect means that the membership suspects the host to be unreachable.
+	suspect     bool
 	incarnation uint64
 }
 
