Take callers away from a daemon that is cut off from the others

Cause: a daemon that reached no other daemon stayed ready, and its callers' requests, all but those for the target beside it, ran into time-outs for as long as the cut lasted.

Ruled out: waiting for the others to be suspected (one probe a second: half a minute in a zone of 39, and suspects are held then); the host's own health of probes (5 of 8 probes).

Change: a host that has received no message for two probe intervals, though three other members or more are not dead, is isolated, and its daemon not ready until a message arrives. It goes on serving what it is sent. Both changes are logged.

--- a/coord/gossip/config.go
+++ b/coord/gossip/config.go
@@ -87,6 +87,10 @@
 // probeTimeout is the time after which an unanswered probe makes its target a suspect.
 func (c *Config) probeTimeout() time.Duration { return c.ProbeInterval * 8 / 5 }
 
+// isolationTimeout is the time without a message after which a host takes itself for isolated: two
+// rounds of probes.
+func (c *Config) isolationTimeout() time.Duration { return 2 * c.ProbeInterval }
+
 // zoneTimeout is the time without a message after which a bridge reports a zone unreachable.
 func (c *Config) zoneTimeout() time.Duration { return 5 * c.ProbeInterval }
 
--- a/coord/gossip/node.go
+++ b/coord/gossip/node.go
@@ -34,9 +34,10 @@
 	// holding is set while suspects are not declared dead.
 	holding bool
 
-	// lastTick is the time of the last Tick; the next fields are the times from which a step is
-	// due. nextRecordHashes is the time before which no record hashes are sent.
+	// lastTick is the time of the last Tick; the fields behind lastHeard are the times from which a
+	// step is due. nextRecordHashes is the time before which no record hashes are sent.
 	lastTick         time.Time
+	lastHeard        time.Time // when a message last arrived
 	nextProbe        time.Time
 	nextRumours      time.Time
 	nextRepair       time.Time
@@ -56,16 +57,17 @@
 func New(cfg Config, self Record, randomSeed uint64, now time.Time) *Node {
 	random := rand.New(rand.NewPCG(randomSeed, uint64(hostKey(self.Host))))
 	n := &Node{
-		cfg:      cfg,
-		table:    newTable(),
-		updates:  updates{limit: cfg.MaxUpdates},
-		budget:   newBudget(&cfg, now),
-		random:   random,
-		probes:   make(map[uint64]*probe),
-		relays:   make(map[uint64]relay),
-		links:    newLinks(),
-		changed:  make(map[string]struct{}),
-		lastTick: now,
+		cfg:       cfg,
+		table:     newTable(),
+		updates:   updates{limit: cfg.MaxUpdates},
+		budget:    newBudget(&cfg, now),
+		random:    random,
+		probes:    make(map[uint64]*probe),
+		relays:    make(map[uint64]relay),
+		links:     newLinks(),
+		changed:   make(map[string]struct{}),
+		lastTick:  now,
+		lastHeard: now,
 	}
 	n.self = n.table.put(self, now)
 	n.nextProbe = now.Add(n.jitter(cfg.ProbeInterval / 2))
@@ -116,6 +118,7 @@
 		return Output{}
 	}
 	known, alone := n.table.hosts[m.From.Host] != nil, n.isAlone()
+	n.lastHeard = now
 	n.links.lastReceived[m.From.Zone] = now
 	n.mergeRumours(now, &m)
 	n.recordRevision(&m)
--- a/coord/gossip/suspicion.go
+++ b/coord/gossip/suspicion.go
@@ -146,6 +146,26 @@
 	n.markChanged(e.record.Host)
 }
 
+// minHeardFrom is the number of other members from which a host in touch hears: the silence of fewer
+// may be their own.
+const minHeardFrom = 3
+
+// Isolated reports whether this host has received no message for a while, though several members
+// are not dead. Since it probes a member in each probe interval, and is probed as often, the fault is
+// then its own or that of its network, before it suspects the others one by one.
+func (n *Node) Isolated(now time.Time) bool {
+	if now.Sub(n.lastHeard) < n.cfg.isolationTimeout() {
+		return false
+	}
+	others := 0
+	for _, e := range n.table.all {
+		if e != n.self && !e.deadOrLeaving() {
+			others++
+		}
+	}
+	return others >= minHeardFrom
+}
+
 func (n *Node) handleSuspicionsRequest(m *Message) {
 	var suspicions Suspicions
 	for _, e := range n.table.zones[n.self.record.Zone] {
@@ -179,6 +199,7 @@
 	}
 	clear(n.probes)
 	clear(n.relays)
+	n.lastHeard = n.lastHeard.Add(gap)
 	for _, e := range n.suspects() {
 		e.deadline = e.deadline.Add(gap)
 	}
--- a/mesh/daemon/readiness.go
+++ b/mesh/daemon/readiness.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/mesh/membership"
@@ -16,25 +18,51 @@
 const targetWait = 4 * time.Second
 
 // readiness determines whether the daemon is ready for requests: from the time at which it has a
-// configuration and knows targets, until it begins to stop.
+// configuration and knows targets, until it begins to stop, except while it is isolated: its callers
+// are served better elsewhere.
 type readiness struct {
 	configuration configuration
-	members       interface{ Members() []gossip.Member }
+	members       memberView
+	logger        *zap.Logger
 	stopping      atomic.Bool
+	isolated      atomic.Bool // as last observed
 
 	mu           sync.Mutex
 	becameReady  bool
 	configuredAt time.Time // when a configuration was first observed
 }
 
-func newReadiness(c configuration, members *membership.Membership) *readiness {
-	return &readiness{configuration: c, members: members}
+// memberView is what readiness depends on of the membership.
+type memberView interface {
+	Members() []gossip.Member
+	// Isolated reports whether this host receives nothing from the other members.
+	Isolated() bool
+}
+
+func newReadiness(c configuration, members *membership.Membership, logger *zap.Logger) *readiness {
+	return &readiness{configuration: c, members: members, logger: logger}
 }
 
 // Ready reports whether the daemon is ready for requests.
-func (r *readiness) Ready() bool { return !r.stopping.Load() && r.readyAt(time.Now()) }
+func (r *readiness) Ready() bool {
+	return !r.stopping.Load() && r.readyAt(time.Now()) && !r.observeIsolation()
+}
+
+// observeIsolation reports whether this host is isolated, and logs changes.
+func (r *readiness) observeIsolation() bool {
+	isolated := r.members.Isolated()
+	if r.isolated.Swap(isolated) == isolated {
+		return isolated
+	}
+	if isolated {
+		r.logger.Warn("isolated from the other daemons, not ready")
+	} else {
+		r.logger.Info("other daemons reached again")
+	}
+	return isolated
+}
 
-// readyAt reports whether the daemon is ready at a time. Once true, it stays true.
+// readyAt reports whether the daemon has a configuration and knows targets. Once true, it stays true.
 func (r *readiness) readyAt(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/mesh/daemon/readiness_test.go
+++ b/mesh/daemon/readiness_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
@@ -23,6 +25,29 @@
 
 func (l *memberList) Members() []gossip.Member { return *l }
 
+func (l *memberList) Isolated() bool { return false }
+
+// isolatedMembers is the membership of a host that may be isolated.
+type isolatedMembers struct {
+	memberList
+	isolated bool
+}
+
+func (m *isolatedMembers) Isolated() bool { return m.isolated }
+
+// A daemon that can't reach the others sends its callers elsewhere, and takes them back.
+func TestIsolatedDaemonIsNotReady(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zap.InfoLevel)
+	members := &isolatedMembers{}
+	r := &readiness{members: members, logger: zap.New(core), becameReady: true}
+	for _, isolated := range []bool{false, true, true, false, false} {
+		members.isolated = isolated
+		is.Equal(r.Ready(), !isolated)
+	}
+	is.Equal(logs.Len(), 2) // one line for each change
+}
+
 // A daemon must not be ready before it can send a request to a target of each service, and must not
 // become unready when targets leave later. A service without targets must not keep it unready
 // forever. A daemon that stops must be unready.
--- a/mesh/membership/membership.go
+++ b/mesh/membership/membership.go
@@ -99,6 +99,13 @@
 // be changed.
 func (m *Membership) Members() []gossip.Member { return *m.members.Load() }
 
+// Isolated reports whether this host receives nothing from the other members.
+func (m *Membership) Isolated() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node.Isolated(time.Now())
+}
+
 // Address returns the UDP address of the socket.
 func (m *Membership) Address() string { return m.socket.LocalAddr().String() }
 
