Give up connecting to a silent host after a quarter of a second

Cause: a request that drew a host without power waited half a second for the connection before it was offered elsewhere, and then mostly missed its objective.

Ruled out: a shorter bound for opening a stream as a whole, which includes work of a daemon that may be starved of processor time; suspicions of the membership, which take longer than most of the loss.

Change: the TCP handshake has a limit of its own. The kernel's second try comes after a second, so that the longer wait reached no more hosts.

TestConnectTimesOutEarly (a full accept queue) failed before (1.0 s) and passes now.

--- a/mesh/peer/dial.go
+++ b/mesh/peer/dial.go
@@ -8,8 +8,14 @@
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
-// dialTimeout bounds opening a connection, with its handshakes.
-const dialTimeout = time.Second
+const (
+	// dialTimeout bounds opening a connection, with its handshakes.
+	dialTimeout = time.Second
+	// connectTimeout bounds the TCP handshake, which takes one round trip and no work of the other
+	// daemon. It ends before the kernel sends the first packet again, after a second, so that a
+	// longer wait would reach no more hosts.
+	connectTimeout = 250 * time.Millisecond
+)
 
 // connect opens a connection of the given kind to the daemon, and returns it with the identity of
 // the daemon. It fails if the daemon is not that of key.host.
@@ -39,7 +45,7 @@
 
 // dialer returns a dialer that binds to the configured local address, if there is one.
 func (p *Pool) dialer() *net.Dialer {
-	dialer := &net.Dialer{}
+	dialer := &net.Dialer{Timeout: connectTimeout}
 	if p.settings.Bind != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(p.settings.Bind)}
 	}
--- a/mesh/peer/fault_test.go
+++ b/mesh/peer/fault_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -129,6 +131,45 @@
 	}
 }
 
+// A host that drops the first packet of each connection is given up soon enough that the request can
+// still be served in time elsewhere.
+func TestConnectTimesOutEarly(t *testing.T) {
+	const limit = 400 * time.Millisecond
+	is := is.New(t)
+	full := fullListener(t)
+	pool := peer.NewPool(peer.Identity{Host: "h1"}, peerSettings(), zap.NewNop())
+	defer pool.Close()
+	began := time.Now()
+	_, err := pool.OpenStream(testContext(t), "h2", full)
+	is.True(err != nil)
+	is.True(time.Since(began) < limit)
+	var timeout net.Error
+	is.True(errors.As(err, &timeout) && timeout.Timeout())
+}
+
+// fullListener returns the address of a listener whose queue of new connections is full, so that the
+// kernel drops the first packet of further ones.
+func fullListener(t *testing.T) string {
+	t.Helper()
+	is := is.New(t)
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	is.NoErr(err)
+	t.Cleanup(func() { syscall.Close(fd) })
+	is.NoErr(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	is.NoErr(syscall.Listen(fd, 0))
+	name, err := syscall.Getsockname(fd)
+	is.NoErr(err)
+	address := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	for range 4 { // the queue holds one or two
+		conn, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+	return address
+}
+
 func TestCancelledStreamIsNotReused(t *testing.T) {
 	is := is.New(t)
 	closed := make(chan struct{})
