Check idle connections between daemons before they carry a request

Cause: a request was written to an idle connection whose host had lost power, was cut off or paused, which the connection does not show. A request that must not be repeated was lost so, its outcome unknown; another one found out after a second of silence, and most calls of other targets have no more time than that. With hundreds of hosts nearly every request meets a connection that has been idle for seconds.

Ruled out: an earlier end of exchanges that are silent (a host that is only paused would lose its running work); a dial for each request (two round trips and a connection).

Change: a stream that was idle for longer than a keepalive interval is sent a check, and the request follows once it is answered, one round trip later. A check without an answer in a quarter of a second counts as an unreachable host: the request certainly did not run and goes elsewhere. A daemon states in its Hello that it answers checks; others are sent none. An empty first frame is still refused.

--- a/integration/platform_faults_test.go
+++ b/integration/platform_faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -218,3 +219,28 @@
 		})
 	}
 }
+
+// TestOrdersAvoidAHostThatStoppedWhileIdle pauses a host to which every other daemon has idle
+// connections, as a loss of power would leave them, and sends orders that must not run twice. None may
+// be lost to the host: an order is sent to it only after it has answered.
+func TestOrdersAvoidAHostThatStoppedWhileIdle(t *testing.T) {
+	t.Parallel()
+	const orders = 20 // for each daemon
+	const idle = 800 * time.Millisecond
+	p := startPlatformCluster(t)
+	paused := p.Daemons[2] // host-b1, of the service that gets the requests
+	others := slices.DeleteFunc(slices.Clone(p.Daemons), func(d *cluster.Daemon) bool { return d == paused })
+	sendAll := func() (results []callerResult) {
+		for range orders {
+			for _, d := range others {
+				results = append(results, p.send(d, http.MethodPost, "/unsafe/1", "a swan"))
+			}
+		}
+		return results
+	}
+	p.checkAllComplete(sendAll())
+	time.Sleep(idle)
+	paused.Pause()
+	defer paused.Resume()
+	p.checkAllComplete(sendAll())
+}
--- a/mesh/peer/dial.go
+++ b/mesh/peer/dial.go
@@ -17,30 +17,30 @@
 	connectTimeout = 250 * time.Millisecond
 )
 
-// connect opens a connection of the given kind to the daemon, and returns it with the identity of
-// the daemon. It fails if the daemon is not that of key.host.
-func (p *Pool) connect(ctx context.Context, key remoteKey, carries peerpb.StreamKind) (net.Conn, Identity, error) {
+// connect opens a connection of the given kind to the daemon, and returns it with the Hello of the
+// daemon. It fails if the daemon is not that of key.host.
+func (p *Pool) connect(ctx context.Context, key remoteKey, carries peerpb.StreamKind) (net.Conn, *peerpb.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	tcpConn, err := p.dialer().DialContext(ctx, "tcp", key.address)
 	if err != nil {
-		return nil, Identity{}, stepError(ErrDial, "connect", key.host, err)
+		return nil, nil, stepError(ErrDial, "connect", key.host, err)
 	}
 	conn, err := p.tlsHandshake(ctx, tcpConn, key.host)
 	if err != nil {
 		tcpConn.Close()
-		return nil, Identity{}, err
+		return nil, nil, err
 	}
 	stopInterrupt := context.AfterFunc(ctx, func() { conn.SetDeadline(pastDeadline) })
-	identity, err := dialHandshake(conn, p.self, key.host, carries)
+	hello, err := dialHandshake(conn, p.self, key.host, carries)
 	if !stopInterrupt() && err == nil {
 		err = stepError(ErrHandshake, "greet", key.host, ctx.Err())
 	}
 	if err != nil {
 		conn.Close()
-		return nil, Identity{}, err
+		return nil, nil, err
 	}
-	return conn, identity, nil
+	return conn, hello, nil
 }
 
 // dialer returns a dialer that binds to the configured local address, if there is one.
@@ -54,11 +54,11 @@
 
 // dialSession opens a connection to the daemon and a session on it.
 func (p *Pool) dialSession(key remoteKey) (*session, error) {
-	conn, identity, err := p.connect(context.Background(), key, peerpb.StreamKind_STREAM_KIND_UNSPECIFIED)
+	conn, hello, err := p.connect(context.Background(), key, peerpb.StreamKind_STREAM_KIND_UNSPECIFIED)
 	if err != nil {
 		return nil, err
 	}
-	s, err := newSession(conn, identity, true, p.settings, &p.controlBytes, p.log)
+	s, err := newSession(conn, identityOf(hello), true, p.settings, &p.controlBytes, p.log)
 	if err != nil {
 		conn.Close()
 		return nil, err
--- a/mesh/peer/doc.go
+++ b/mesh/peer/doc.go
@@ -30,5 +30,7 @@
 		Host:        i.Host,
 		Zone:        i.Zone,
 		Incarnation: i.Incarnation,
+
+		AnswersChecks: true,
 	}
 }
--- a/mesh/peer/stream.go
+++ b/mesh/peer/stream.go
@@ -37,8 +37,10 @@
 
 	// finished is set by Release and Discard, and cleared when an idle stream is used again.
 	finished  atomic.Bool
-	idleSince time.Time     // when released
-	watchDone chan struct{} // closed at the end of the goroutine of WatchClose; nil if there is none
+	idleSince time.Time // when released
+	// answersChecks is set on the dialing side if the other end answers checks; see check.
+	answersChecks bool
+	watchDone     chan struct{} // closed at the end of the goroutine of WatchClose; nil if there is none
 
 	deadlineMu sync.Mutex
 	deadline   time.Time // set by SetDeadline
@@ -176,12 +178,21 @@
 }
 
 // receiveHead reads the first frame of the next request, for which it waits at most
-// acceptedIdleTimeout.
+// acceptedIdleTimeout, and answers the checks before it.
 func (s *Stream) receiveHead(frame *peerpb.CallFrame) error {
-	s.setIdleReadDeadline()
-	s.waitForWatch()
-	if err := readFrame(s.reader, frame, maxCallFrame); err != nil {
-		return stepError(ErrStream, "read head", s.remote.Host, err)
+	for {
+		s.setIdleReadDeadline()
+		s.waitForWatch()
+		if err := readFrame(s.reader, frame, maxCallFrame); err != nil {
+			return stepError(ErrStream, "read head", s.remote.Host, err)
+		}
+		if frame.GetCheck() == nil {
+			break
+		}
+		s.counts.received.Add(uint64(frameSize(frame)))
+		if err := s.answerCheck(); err != nil {
+			return err
+		}
 	}
 	if frame.GetHead() == nil {
 		return stepError(ErrStream, "read head", s.remote.Host, errNotCallHead)
--- a/mesh/peer/stream_test.go
+++ b/mesh/peer/stream_test.go
@@ -96,3 +96,21 @@
 	s.requestProbe()
 	s.keepalive(time.Hour, true) // returns once the session is closed
 }
+
+// A daemon of a build that doesn't answer checks is sent none, and streams in steady use aren't
+// checked.
+func TestOnlyStreamsThatMayBeBrokenAreChecked(t *testing.T) {
+	const keepalive = 500 * time.Millisecond
+	now := time.Now()
+	cases := []struct {
+		answersChecks bool
+		idle          time.Duration
+		checked       bool
+	}{
+		{true, keepalive / 2, false}, {true, 2 * keepalive, true}, {false, time.Hour, false},
+	}
+	for _, c := range cases {
+		s := &Stream{answersChecks: c.answersChecks, idleSince: now.Add(-c.idle), keepaliveInterval: keepalive}
+		is.New(t).Equal(s.needsCheck(now), c.checked)
+	}
+}
--- a/mesh/peer/streampool.go
+++ b/mesh/peer/streampool.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -37,7 +39,8 @@
 }
 
 // openStream returns an idle stream or opens one. Idle streams that the other end has closed are
-// discarded.
+// discarded. If the other end doesn't answer the check of one in time, all are, and the error is a
+// time-out: the request can be sent to another host sooner than by dialing this one.
 func (p *streamPool) openStream(ctx context.Context) (*Stream, error) {
 	for {
 		s, err := p.reserve()
@@ -47,10 +50,15 @@
 		if s == nil {
 			break
 		}
-		if !idleconn.Stale(s.conn) {
+		usable, err := p.usable(ctx, s)
+		if usable {
 			return s, nil
 		}
 		s.Discard()
+		if err != nil {
+			p.closeIdle()
+			return nil, err
+		}
 	}
 	s, err := p.dial(ctx)
 	if err != nil {
@@ -60,6 +68,27 @@
 	return s, nil
 }
 
+// usable reports whether a request can be sent on a stream that was idle. The error is a time-out of
+// its check, or the end of the context.
+func (p *streamPool) usable(ctx context.Context, s *Stream) (bool, error) {
+	if idleconn.Stale(s.conn) {
+		return false, nil
+	}
+	if !s.needsCheck(time.Now()) {
+		return true, nil
+	}
+	stopInterrupt := context.AfterFunc(ctx, func() { s.conn.SetDeadline(pastDeadline) })
+	err := s.check(ctx)
+	if !stopInterrupt() && err == nil {
+		err = stepError(ErrDial, "check idle stream", p.key.host, ctx.Err())
+	}
+	var timeout net.Error
+	if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) && ctx.Err() == nil {
+		return false, nil // closed; another stream may be open
+	}
+	return err == nil, err
+}
+
 // reserve counts one more stream in use and returns the most recently used idle stream, or nil if
 // there is none.
 func (p *streamPool) reserve() (*Stream, error) {
@@ -94,15 +123,15 @@
 	if err := p.backoff.check(); err != nil {
 		return nil, err
 	}
-	conn, identity, err := p.parent.connect(ctx, p.key, peerpb.StreamKind_STREAM_KIND_CALL)
+	conn, hello, err := p.parent.connect(ctx, p.key, peerpb.StreamKind_STREAM_KIND_CALL)
 	if err == nil || ctx.Err() == nil {
 		p.backoff.record(err)
 	}
 	if err != nil {
 		return nil, err
 	}
-	s := newStream(conn, identity, true, p.parent.settings.Keepalive.Std(), &p.parent.controlBytes)
-	s.pool = p
+	s := newStream(conn, identityOf(hello), true, p.parent.settings.Keepalive.Std(), &p.parent.controlBytes)
+	s.pool, s.answersChecks = p, hello.AnswersChecks
 	return s, nil
 }
 
