Bound the arrival of requests on the admin port

Cause: the header of a request to the admin port had a time limit, its body had only one of size. A target in trouble that trickles the body of its announcements held a connection for each of them.

Ruled out: limits in each handler; net/http has one for all.

Change: a request has 5 s to arrive, body included.

--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -62,9 +62,17 @@
 	cancel     context.CancelFunc // ends the background work
 }
 
+// adminReadTimeout bounds the arrival of a request on the admin and readiness ports, body included: a
+// target that trickles bytes without end must not hold a connection for each of its announcements.
+const adminReadTimeout = 5 * time.Second
+
+func newAdminServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadTimeout: adminReadTimeout}
+}
+
 // registerLifecycle adds the start and the stop of the components to the application.
 func registerLifecycle(fxLifecycle fx.Lifecycle, c components) {
-	l := &lifecycle{components: c, admin: &http.Server{Handler: c.Admin, ReadHeaderTimeout: 5 * time.Second}}
+	l := &lifecycle{components: c, admin: newAdminServer(c.Admin)}
 	fxLifecycle.Append(fx.Hook{OnStart: l.start, OnStop: l.stop})
 }
 
