Tell a slow host from a slow version

Cause: a good version was taken back because one host that ran it had turned slow. The detector pooled the responses of all hosts, and a zone with one host of the new version stopped by itself. Placing by speed sharpens this: the old version's requests avoid its slow hosts.

Ruled out: a longer warm-up (the host turned slow later); comparing medians of hosts (a zone may have one or two).

Change: samples name their host. Slow responses of a host of the new version don't count while the other hosts, with 30 requests or more, have a fifth of its rate or less; a zone stops by itself only if two hosts are slow there. Failures and crashes count as before.

--- a/coord/detect/detect.go
+++ b/coord/detect/detect.go
@@ -21,9 +21,11 @@
 
 // Sample counts the requests of one version on one route in one availability zone.
 type Sample struct {
-	Version  Version
-	Route    string
-	Zone     string
+	Version Version
+	Route   string
+	Zone    string
+	// Host is the host of the targets, or empty if the requests are not known to be of one host.
+	Host     string
 	Requests uint64
 	// Failures counts requests that failed because of a fault of the target; crashes and unknown
 	// outcomes may be among them.
@@ -91,6 +93,9 @@
 	// WindowLimit limits the log e-value that one window in one zone may add, in nats, so that a
 	// brief fault in one zone does not decide the verdict.
 	WindowLimit float64
+	// MinSlowHosts is the number of hosts of the new version that must have slow responses for any
+	// to count. Where a version has one host alone, its responses show nothing about the version.
+	MinSlowHosts int
 	// WarmUpWindows is the number of windows after StartWarmUp in which slow responses of either
 	// version do not count.
 	WarmUpWindows int
@@ -160,6 +165,8 @@
 	step            excessBounds
 	bad             *Reason
 	warmUpRemaining int // windows
+	hosts           newVersionHosts
+	window          []Sample // of the open window, of known hosts of the new version
 }
 
 // New returns a detector without evidence.
@@ -168,6 +175,7 @@
 		config:     config,
 		cellByKey:  make(map[Scope]*cell),
 		scopeByKey: make(map[Scope]*scope),
+		hosts:      make(newVersionHosts),
 	}
 	d.scope(Scope{})
 	d.total = newExcessBounds(config.Beta)
@@ -180,6 +188,15 @@
 	if s.Requests == 0 && s.Crashes == 0 && s.Unknown == 0 {
 		return
 	}
+	if s.Version == NewVersion && s.Host != "" {
+		d.hosts.add(s)
+		d.window = append(d.window, s)
+		return
+	}
+	d.observe(s)
+}
+
+func (d *Detector) observe(s Sample) {
 	key := Scope{Route: s.Route, Zone: s.Zone}
 	c, ok := d.cellByKey[key]
 	if !ok {
@@ -213,6 +230,13 @@
 // EndWindow closes the open window and adds its evidence. All samples of a window must be from
 // the same period of time.
 func (d *Detector) EndWindow() {
+	for _, s := range d.window {
+		if !d.hosts.showVersion(s.Host, d.config.MinSlowHosts) {
+			s.Slow = 0
+		}
+		d.observe(s)
+	}
+	d.window = d.window[:0]
 	warmingUp := d.warmUpRemaining > 0
 	d.warmUpRemaining = max(0, d.warmUpRemaining-1)
 	for _, c := range d.cells {
--- a/coord/rollout/zone_detector.go
+++ b/coord/rollout/zone_detector.go
@@ -25,6 +25,10 @@
 	controllerAlphaFraction = 0.5
 )
 
+// zoneMinSlowHosts is the number of hosts of a zone that must be slow before the zone stops by itself:
+// it may have one host of the new version, which the controller compares with those of other zones.
+const zoneMinSlowHosts = 2
+
 // WindowLength is the duration of a detector's windows.
 const WindowLength = time.Second
 
@@ -55,6 +59,7 @@
 	config := PolicyFor(preference).Detect
 	config.Alpha *= zoneAlphaFraction
 	config.Beta = 0
+	config.MinSlowHosts = zoneMinSlowHosts
 	config.WarmUpWindows = warmUpWindows(remaining)
 	return &ZoneDetector{zone: zone, detector: detect.New(config)}
 }
--- a/mesh/controller/inbox.go
+++ b/mesh/controller/inbox.go
@@ -81,7 +81,7 @@
 		}
 		p.reported = true
 		for _, count := range report.GetCounts() {
-			p.add(count)
+			p.add(count, report.GetHost())
 		}
 	}
 	for _, halt := range report.GetTrips() {
@@ -132,9 +132,9 @@
 	return true
 }
 
-// add converts a count to a sample of the old or the new version. Counts of other versions are
-// dropped.
-func (p *pendingReports) add(count *peerpb.OutcomeCount) {
+// add converts a count of a reporting host to a sample of the old or the new version. Counts of other
+// versions are dropped.
+func (p *pendingReports) add(count *peerpb.OutcomeCount, host string) {
 	if count.GetService() != p.rollout.Service {
 		return
 	}
@@ -148,8 +148,11 @@
 			return
 		}
 	}
+	if count.GetUnknown() == count.GetRequests() {
+		host = "" // may be counted by an entry, for the requests that their host did not report
+	}
 	p.samples = append(p.samples, detect.Sample{
-		Version: version, Route: count.GetRoute(), Zone: count.GetZone(),
+		Version: version, Route: count.GetRoute(), Zone: count.GetZone(), Host: host,
 		Requests: count.GetRequests(), Failures: count.GetFailures(), Slow: count.GetSlow(),
 		Crashes: count.GetCrashes(), Unknown: count.GetUnknown(),
 	})
