--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -406,3 +406,33 @@
 	}
 	p.checkAllComplete(load.finish())
 }
+
+// TestStopsBesideChangesOfConfiguration stops two daemons of different zones at once, each asked twice,
+// while a configuration comes into force. No request that was sent to a ready daemon may fail.
+func TestStopsBesideChangesOfConfiguration(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := startPlatformCluster(t)
+	load := p.startTraffic(12)
+	version := uint64(20)
+	for _, pair := range [][2]int{{0, 3}, {1, 2}, {4, 1}} {
+		time.Sleep(300 * time.Millisecond)
+		version++
+		p.WriteOperatorRow(wire.KeyConfig, testConfig(version, addedRoute))
+		for _, i := range pair {
+			p.Daemons[i].Terminate()
+		}
+		time.Sleep(50 * time.Millisecond)
+		for _, i := range pair {
+			p.Daemons[i].Terminate()
+		}
+		version++
+		p.WriteOperatorRow(wire.KeyConfig, testConfig(version))
+		for _, i := range pair {
+			is.NoErr(p.Daemons[i].Wait(t))
+			p.Daemons[i].Launch()
+			p.Daemons[i].WaitReady()
+		}
+	}
+	p.checkAllComplete(load.finish())
+}
