Trust load reports for one service time

Cause: the load that a host reported counted for a second, whatever the length of its requests. At 47 ms a request it described work that had long ended, at 4.7 s it was dropped while it still held.

Ruled out: half a service time (more offers for the same wait); a half-life for service time estimates that follows them (a route would stay locked out after a slow spell).

Change: a report is valid for the mean service time of the service's requests, between 20 ms and 10 s.

TestPlacingDoesNotDependOnTheTimeScale.

--- a/coord/balance/search_test.go
+++ b/coord/balance/search_test.go
@@ -183,12 +183,14 @@
 func (m *zoneModel) observe(request zoneEvent) {
 	endpoint, target := request.endpoint, m.targets[request.host]
 	load := target.Load(m.wall())
-	endpoint.Observe(balance.LoadReport{
-		Outstanding: load.Outstanding, Queued: load.Queued, Slots: load.Slots, Wait: target.Wait(m.wall()),
-	}, m.clock())
-	if reported := target.ServiceTime(""); m.load.reportSpeeds && reported > 0 {
-		endpoint.ObserveServiceTime(reported, m.typical[request.entry].Add(balance.Class{}, reported), m.clock())
+	report := balance.LoadReport{Outstanding: load.Outstanding, Queued: load.Queued, Slots: load.Slots, Wait: target.Wait(m.wall())}
+	if reported := target.ServiceTime(""); reported > 0 {
+		report.ServiceTime = m.typical[request.entry].Add(balance.Class{}, reported)
+		if m.load.reportSpeeds {
+			endpoint.ObserveServiceTime(reported, report.ServiceTime, m.clock())
+		}
 	}
+	endpoint.Observe(report, m.clock())
 }
 
 func (m *zoneModel) run(place placePolicy) {
--- a/coord/balance/speed.go
+++ b/coord/balance/speed.go
@@ -27,7 +27,7 @@
 )
 
 // Class names the requests of one route to one service, which take about the same time on hosts of
-// the same speed.
+// the same speed, or all requests to the service if Route is empty.
 type Class struct{ Service, Route string }
 
 // ServiceTimes holds the typical service time of each class: the moving mean of what all hosts report. It is safe for concurrent use; the zero value is ready.
--- a/coord/balance/speed_test.go
+++ b/coord/balance/speed_test.go
@@ -71,6 +71,28 @@
 	}
 }
 
+// TestPlacingDoesNotDependOnTheTimeScale plays one load with requests that are up to 30 times shorter
+// and ten times longer. What callers get may differ by a fifth and half a request in 100.
+func TestPlacingDoesNotDependOnTheTimeScale(t *testing.T) {
+	const relative, absolute = 0.2, 0.005
+	for _, utilization := range []float64{0.5, 0.85, 0.95} {
+		is := is.New(t)
+		late := map[float64]float64{}
+		for _, scale := range []float64{1, 0.03, 0.1, 10} {
+			load := mixedSpeeds(utilization)
+			load.work = time.Duration(scale * float64(load.work))
+			load.objective = time.Duration(scale * float64(load.objective))
+			m := newZoneModel(load, 1)
+			m.run(placeSearch)
+			late[scale] = float64(m.late) / float64(m.served)
+			t.Logf("%.2f work %v: late %.4f, waiting %.3f, mean wait %.4f of the work, messages a request %.2f", utilization, load.work, late[scale],
+				float64(m.waited)/float64(m.served), m.wait.Seconds()/float64(m.served)/load.work.Seconds(), float64(m.messages)/float64(load.requests))
+			is.True(late[scale] <= late[1]*(1+relative)+absolute)
+			is.True(late[scale] >= late[1]*(1-relative)-absolute)
+		}
+	}
+}
+
 // A host that was slow for a while gets requests again.
 func TestHostThatWasSlowIsTriedAgain(t *testing.T) {
 	is := is.New(t)
--- a/coord/balance/state.go
+++ b/coord/balance/state.go
@@ -7,8 +7,15 @@
 	"sassafrasnotch.example/coord/gossip"
 )
 
-// reportMaxAge is the age from which a reported load is ignored.
-const reportMaxAge = time.Second
+const (
+	// reportMaxAge is the age from which a reported load is ignored where the service time of the
+	// requests is not known.
+	reportMaxAge = time.Second
+	// minReportMaxAge and maxReportMaxAge bound the age otherwise, which is one service time: by then
+	// other requests have taken the place of those reported.
+	minReportMaxAge = 20 * time.Millisecond
+	maxReportMaxAge = 10 * time.Second
+)
 
 // avoidDuration is the time for which Avoid applies to an endpoint.
 const avoidDuration = time.Second
@@ -25,6 +32,8 @@
 	Wait time.Duration
 	// FailureRate is the recent fraction of requests that failed there, from 0 to 1.
 	FailureRate float64
+	// ServiceTime is the mean time for which requests of the service run; 0 if it is not known.
+	ServiceTime time.Duration
 }
 
 // failurePenalty is the load, in requests per slot, that a host counts as having if all of its
@@ -39,7 +48,7 @@
 	slots       atomic.Int32 // reported slots; 0 before any report
 	wait        atomic.Int64 // reported, in nanoseconds
 	failures    atomic.Int64 // reported failure rate, in parts per million
-	reportedAt  atomic.Int64 // nanoseconds since the origin of now; 0 before any report
+	validUntil  atomic.Int64 // of the report, nanoseconds since the origin of now; 0 before any report
 	avoidUntil  atomic.Int64 // nanoseconds since the origin of now
 	health      health
 	speed       speed
@@ -81,7 +90,15 @@
 	e.slots.Store(int32(report.Slots))
 	e.wait.Store(int64(report.Wait))
 	e.failures.Store(int64(report.FailureRate * partsPerUnit))
-	e.reportedAt.Store(int64(now))
+	e.validUntil.Store(int64(now + report.maxAge()))
+}
+
+// maxAge returns the age from which the report is ignored.
+func (r *LoadReport) maxAge() time.Duration {
+	if r.ServiceTime <= 0 {
+		return reportMaxAge
+	}
+	return min(max(r.ServiceTime, minReportMaxAge), maxReportMaxAge)
 }
 
 // Avoid makes Group.Pick return the endpoint only if no other remains, for avoidDuration,
@@ -91,7 +108,7 @@
 }
 
 // Load returns the requests outstanding and queued at the endpoint, per slot. It includes
-// those of other daemons while the last report is younger than reportMaxAge.
+// those of other daemons while the last report is valid.
 func (e *Endpoint) Load(now time.Duration) float64 {
 	busy := e.outstanding.Load()
 	slots := int32(e.Slots)
@@ -109,8 +126,7 @@
 	return e.Load(now) + failurePenalty*e.FailureRate(now) + slownessPenalty*(e.RelativeServiceTime(now)-1)
 }
 
-// FailureRate returns the reported fraction of failed requests; 0 without a report younger than
-// reportMaxAge.
+// FailureRate returns the reported fraction of failed requests; 0 without a valid report.
 func (e *Endpoint) FailureRate(now time.Duration) float64 {
 	if !e.hasFreshReport(now) {
 		return 0
@@ -121,8 +137,7 @@
 // partsPerUnit is the resolution of a stored fraction.
 const partsPerUnit = 1_000_000
 
-// Wait returns how long a request is expected to wait for a slot; 0 without a report younger than
-// reportMaxAge.
+// Wait returns how long a request is expected to wait for a slot; 0 without a valid report.
 func (e *Endpoint) Wait(now time.Duration) time.Duration {
 	if !e.hasFreshReport(now) {
 		return 0
@@ -131,8 +146,7 @@
 }
 
 func (e *Endpoint) hasFreshReport(now time.Duration) bool {
-	at := e.reportedAt.Load()
-	return at != 0 && now-time.Duration(at) < reportMaxAge
+	return int64(now) < e.validUntil.Load()
 }
 
 func (e *Endpoint) avoided(now time.Duration) bool {
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -223,11 +223,13 @@
 		FailureRate: float64(load.GetFailurePermille()) / 1000,
 	}
 	now := e.request.entry.now()
-	e.endpoint.Observe(report, now)
 	if service := time.Duration(load.GetServiceMicros()) * time.Microsecond; service > 0 {
-		typical := e.request.entry.routing.serviceTimes.Add(balance.Class{Service: e.request.service, Route: e.request.route.Name}, service)
+		times := &e.request.entry.routing.serviceTimes
+		typical := times.Add(balance.Class{Service: e.request.service, Route: e.request.route.Name}, service)
 		e.endpoint.ObserveServiceTime(service, typical, now)
+		report.ServiceTime = times.Add(balance.Class{Service: e.request.service}, service)
 	}
+	e.endpoint.Observe(report, now)
 }
 
 // recordSilence makes other requests avoid a host that fell silent while the request runs there.
