Take the configuration of a restarted daemon from its neighbours

Cause: each start read the operators' rows and those of all rollouts from the store.

Ruled out: rows from the zone reader only (a starting daemon knows a few hosts, seldom the readers); a start without own host row (the incarnation of a run would be forgotten if the clock is set back).

Change: a starting daemon asks one alive host of its zone, which says whether it holds maintained rows: it follows the store, or a reader. It then follows a reader as soon as it knows one, or the store.

--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -162,7 +162,6 @@
 	s.mu.Lock()
 	s.stop, s.stopped = cancel, ctx
 	s.mu.Unlock()
-	signal(s.resumeStore)
 	s.goroutines.Go(func() { s.followOperator(ctx) })
 	s.goroutines.Go(func() { s.followRollouts(ctx) })
 	s.goroutines.Go(func() { s.followReaders(ctx) })
@@ -191,6 +190,11 @@
 		pause:           s.applyFraction(changePauseFraction),
 		firstPause:      s.applyFraction(startPauseFraction),
 	}
+	if s.startFromPeer(ctx) {
+		s.goroutines.Go(func() { s.awaitReader(ctx) })
+	} else {
+		signal(s.resumeStore)
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/mesh/source/zone_reader.go
+++ b/mesh/source/zone_reader.go
@@ -143,6 +143,12 @@
 // The host may hold back its reply for the wait. current reports whether the host follows the store
 // and its last exchange with it succeeded.
 func (s *Source) pull(ctx context.Context, host string, wait time.Duration) (current bool, err error) {
+	reply, err := s.pullRows(ctx, host, wait)
+	return reply.GetCurrent(), err
+}
+
+// pullRows is pull with the whole reply.
+func (s *Source) pullRows(ctx context.Context, host string, wait time.Duration) (*peerpb.RowsReply, error) {
 	s.mu.Lock()
 	query := s.state.heldVersions()
 	s.mu.Unlock()
@@ -154,18 +160,18 @@
 		Body: &peerpb.ControlRequest_Rows{Rows: query},
 	})
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	rowsReply := reply.GetRows()
 	if rowsReply == nil {
-		return false, steperr.Wrap(errUnexpectedReply, "pull rows", host)
+		return nil, steperr.Wrap(errUnexpectedReply, "pull rows", host)
 	}
 	rows, err := decodeRows(rowsReply.GetRows(), rowsReply.GetChecksum())
 	if err != nil {
-		return false, steperr.Wrap(err, "decode rows", host)
+		return nil, steperr.Wrap(err, "decode rows", host)
 	}
 	s.applyPeerRows(rows, host)
-	return rowsReply.GetCurrent(), nil
+	return rowsReply, nil
 }
 
 // address returns the peer address of a host, or "" if the host is unknown.
@@ -208,12 +214,13 @@
 			return nil, err
 		}
 		if len(data) > 0 || !current {
-			return &peerpb.RowsReply{Rows: data, Checksum: checksum(data), Current: current}, nil
+			return &peerpb.RowsReply{Rows: data, Checksum: checksum(data), Current: current, Maintained: current || s.followsReader()}, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return &peerpb.RowsReply{Current: s.followsStore.Load()}, nil
+			current := s.followsStore.Load()
+			return &peerpb.RowsReply{Current: current, Maintained: current || s.followsReader()}, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
