Sum the counts of a version's hosts once for each window

Cause: whether a host's slow responses count was asked for each sample with a pass over all hosts, quadratic in the hosts of a version. Change: the totals are summed once; the rule is the same.

--- a/coord/balance/speed.go
+++ b/coord/balance/speed.go
@@ -30,7 +30,8 @@
 // the same speed, or all requests to the service if Route is empty.
 type Class struct{ Service, Route string }
 
-// ServiceTimes holds the typical service time of each class: the moving mean of what all hosts report. It is safe for concurrent use; the zero value is ready.
+// ServiceTimes holds the typical service time of each class: the moving mean of what all hosts
+// report. It is safe for concurrent use; the zero value is ready.
 type ServiceTimes struct {
 	mutex   sync.Mutex
 	typical map[Class]*typicalTime
--- a/coord/detect/detect.go
+++ b/coord/detect/detect.go
@@ -230,8 +230,9 @@
 // EndWindow closes the open window and adds its evidence. All samples of a window must be from
 // the same period of time.
 func (d *Detector) EndWindow() {
+	totals := d.hosts.totals()
 	for _, s := range d.window {
-		if !d.hosts.showVersion(s.Host, d.config.MinSlowHosts) {
+		if !totals.showVersion(d.hosts[s.Host], d.config.MinSlowHosts) {
 			s.Slow = 0
 		}
 		d.observe(s)
--- a/coord/detect/hosts.go
+++ b/coord/detect/hosts.go
@@ -25,27 +25,34 @@
 	c.slow += float64(s.Slow)
 }
 
-// showVersion reports whether slow responses of a host count against the version: at least minHosts
-// hosts have some, and the other hosts don't show that this one is slow by itself.
-func (h newVersionHosts) showVersion(host string, minHosts int) bool {
-	var others hostCounts
-	slowHosts := 0
-	for name, c := range h {
+// newVersionTotals sums the counts of all hosts.
+type newVersionTotals struct {
+	hostCounts
+	slowHosts int // hosts with slow responses
+}
+
+func (h newVersionHosts) totals() newVersionTotals {
+	var totals newVersionTotals
+	for _, c := range h {
+		totals.requests += c.requests
+		totals.slow += c.slow
 		if c.slow > 0 {
-			slowHosts++
-		}
-		if name != host {
-			others.requests += c.requests
-			others.slow += c.slow
+			totals.slowHosts++
 		}
 	}
-	if slowHosts < minHosts {
+	return totals
+}
+
+// showVersion reports whether slow responses of a host count against the version: at least minHosts
+// hosts have some, and the other hosts don't show that this one is slow by itself.
+func (t *newVersionTotals) showVersion(host *hostCounts, minHosts int) bool {
+	if t.slowHosts < minHosts {
 		return false
 	}
+	others := hostCounts{t.requests - host.requests, t.slow - host.slow}
 	if others.requests < minOtherRequests {
 		return true
 	}
-	own := h[host]
 	otherRate := (others.slow + priorRate*priorWeight) / (others.requests + priorWeight)
-	return own.slow/max(own.requests, 1) < slowHostRatio*otherRate
+	return host.slow/max(host.requests, 1) < slowHostRatio*otherRate
 }
--- a/mesh/peer/keepalive.go
+++ b/mesh/peer/keepalive.go
@@ -51,8 +51,8 @@
 
 // KeepThroughSilence makes the exchange last to the deadline of the stream though the other end
 // falls silent, unless only the connection does: the other end may be paused, and a request that
-// must not be repeated gains nothing if it is given up earlier. The function is called in Receive at the first silence. It applies to the
-// request sent last, on the dialing side, and needs a deadline.
+// must not be repeated gains nothing if it is given up earlier. The function is called in Receive at
+// the first silence. It applies to the request sent last, on the dialing side, and needs a deadline.
 func (s *Stream) KeepThroughSilence(onSilence func()) { s.onSilence = onSilence }
 
 // awaitFrame waits until the first byte of a frame arrives, for as long as setFrameDeadline allows.
