Let the membership tell of many joining hosts at once

Cause: a new version of a large service starts half as many hosts again as the fleet has. Their joins used up the membership's burst of bytes; from half of it on rumours waited, and the news that the hosts were ready took 24 to 28 s.

Ruled out: a higher rate (the budget at 572 hosts), longer or more rumours, more frequent repair: by themselves they change little or cost more.

Change: a burst of 128 KB in place of 32, of which a quarter is reserved for repair, not half.

--- a/coord/gossip/budget.go
+++ b/coord/gossip/budget.go
@@ -24,9 +24,12 @@
 // available reports whether anything may be sent.
 func (b *budget) available() bool { return b.tokens > 0 }
 
-// aboveReserve reports whether rumours may be sent. The lower half of the burst is reserved for
-// repair, which needs fewer bytes per change when there are many.
-func (b *budget) aboveReserve() bool { return b.tokens > b.burst/2 }
+// repairReserve is the fraction of the burst that is reserved for repair, which needs fewer bytes per
+// change when there are many.
+const repairReserve = 0.25
+
+// aboveReserve reports whether rumours may be sent.
+func (b *budget) aboveReserve() bool { return b.tokens > repairReserve*b.burst }
 
 // spend removes tokens. The last message may overdraw the budget.
 func (b *budget) spend(bytes int) { b.tokens -= float64(bytes) }
--- a/coord/gossip/config.go
+++ b/coord/gossip/config.go
@@ -76,7 +76,7 @@
 		RemoveAfter:          10 * time.Minute,
 		MaxMessage:           1200,
 		SendRate:             1800,
-		SendBurst:            32 << 10,
+		SendBurst:            128 << 10,
 		MaxUpdates:           256,
 	}
 }
