Queue requests whose body is streamed at the first host

A host that had none refused, the upload couldn't begin again, and the caller was told "overloaded" though the request could have waited.

Ruled out: holding the upload back until a host has a slot (a round trip for each body, and a frame that says so).

Change: a request whose body does not fit into its first frame waits at the first host like before there were offers.

--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -196,6 +196,10 @@
 // attempt sends the request to the endpoint of an offer and relays its response. It returns the
 // failure if there was none.
 func (c *callerRequest) attempt(choice *balance.Choice, offer balance.Offer) *failure {
+	if !c.bodyComplete {
+		// The upload can't begin again at another host, so the request waits at this one.
+		offer.Bounded = false
+	}
 	endpoint := offer.Endpoint
 	started := c.entry.now()
 	endpoint.Begin()
--- a/mesh/exit/entry_exit_test.go
+++ b/mesh/exit/entry_exit_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -90,3 +91,36 @@
 		}
 	}
 }
+
+// A body that is streamed can be sent to one host only. Where that host has no free slot, the request
+// waits for one like any other.
+func TestStreamedBodyWaitsForASlot(t *testing.T) {
+	const busyFor = 200 * time.Millisecond
+	is := is.New(t)
+	fx := newFixture(t)
+	busy := make(chan struct{})
+	fx.target(1, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/orders/slow" {
+			close(busy)
+			time.Sleep(busyFor)
+		}
+	})
+	server := fx.serveEntry()
+	post := func(path string, size int) int {
+		response, err := server.Client().Post(server.URL+path, "application/octet-stream", bytes.NewReader(randomBody(size)))
+		if err != nil {
+			t.Error(err)
+			return 0
+		}
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	slow := make(chan int)
+	go func() { slow <- post("/orders/slow", 1) }()
+	<-busy
+	for _, size := range []int{peer.MaxInlineBody + 1, 1} {
+		is.Equal(post("/orders", size), http.StatusOK)
+	}
+	is.Equal(<-slow, http.StatusOK)
+}
