Log where halts apply and how many calls of a version were not compared

What callers saw: a bad version kept its traffic for more than 5 s. The logs told neither when each daemon heard of a halt nor whether the detector had anything to compare the version with, so a late verdict and a daemon that had not heard looked alike.

Change: 'halt applied' with the host that published the halt; 'uncompared' in 'rollout advanced', the requests on a route in a zone in whose window the old version had none. No decision reads it.

--- a/coord/detect/detect.go
+++ b/coord/detect/detect.go
@@ -150,6 +150,9 @@
 	// BadEvidence is the strongest evidence that the new version is worse, as a fraction of that
 	// needed for a bad verdict, from 0 to 1 on a logarithmic scale.
 	BadEvidence float64
+	// UncomparedRequests is the number of requests of the new version on a route in a zone where the old
+	// version had none in the same window.
+	UncomparedRequests uint64
 	// Reason is set if the version is bad.
 	Reason Reason
 }
@@ -167,6 +170,7 @@
 	warmUpRemaining int // windows
 	hosts           newVersionHosts
 	window          []Sample // of the open window, of known hosts of the new version
+	uncompared      uint64   // requests of the new version in windows without requests of the old one
 }
 
 // New returns a detector without evidence.
@@ -254,6 +258,9 @@
 		d.step.observe(d.cells, warmingUp)
 	}
 	for _, c := range d.cells {
+		if c.window[OldVersion].requests == 0 {
+			d.uncompared += uint64(c.window[NewVersion].requests)
+		}
 		c.closeWindow()
 	}
 }
@@ -290,7 +297,7 @@
 	v := Verdict{
 		ExcessBound: d.total.largest(), Requests: d.total.requests,
 		StepExcessBound: d.step.largest(), StepRequests: d.step.requests,
-		BadEvidence: d.badEvidence(),
+		BadEvidence: d.badEvidence(), UncomparedRequests: d.uncompared,
 	}
 	if d.bad != nil {
 		v.Kind = Bad
--- a/mesh/controller/advance.go
+++ b/mesh/controller/advance.go
@@ -62,7 +62,8 @@
 		zap.String("reason", next.Reason), zap.Uint64("revision", revisionNumber),
 		zap.Int("old_hosts", evidence.Hosts.From), zap.Int("new_hosts", evidence.Hosts.To),
 		zap.Uint64("calls", evidence.Verdict.Requests), zap.Float64("excess", evidence.Verdict.ExcessBound),
-		zap.Float64("suspicion", evidence.Verdict.BadEvidence))
+		zap.Float64("suspicion", evidence.Verdict.BadEvidence),
+		zap.Uint64("uncompared", evidence.Verdict.UncomparedRequests))
 	return nil
 }
 
--- a/mesh/daemon/updates.go
+++ b/mesh/daemon/updates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"go.uber.org/fx"
+	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/mesh/controller"
@@ -30,9 +31,10 @@
 	exit             *exit.Exit
 	publishedHalts   map[gossip.Halt]bool
 	publishedCrashes map[exit.CrashFingerprint]time.Time // time of expiry
+	logger           *zap.Logger
 }
 
-func newZoneUpdates(identity peer.Identity, c *controller.Controller, members *membership.Membership, e *entry.Entry, x *exit.Exit) *zoneUpdates {
+func newZoneUpdates(identity peer.Identity, c *controller.Controller, members *membership.Membership, e *entry.Entry, x *exit.Exit, logger *zap.Logger) *zoneUpdates {
 	return &zoneUpdates{
 		zone:             identity.Zone,
 		controller:       c,
@@ -41,6 +43,7 @@
 		exit:             x,
 		publishedHalts:   make(map[gossip.Halt]bool),
 		publishedCrashes: make(map[exit.CrashFingerprint]time.Time),
+		logger:           logger.Named("updates"),
 	}
 }
 
@@ -58,11 +61,19 @@
 			continue
 		}
 		u.publishedHalts[halt] = true
-		u.entry.SetHalted(halt.Service, halt.Version, halt.Ticket)
+		u.applyHalt(halt, "")
 		u.members.Publish(gossip.Update{TTL: haltTTL, Halt: &halt})
 	}
 }
 
+// applyHalt makes the entry halt a version. The peer is the host that published the halt, or "" if this
+// host did.
+func (u *zoneUpdates) applyHalt(halt gossip.Halt, peer string) {
+	u.logger.Info("halt applied", zap.String("service", halt.Service), zap.String("version", halt.Version),
+		zap.Uint64("ticket", halt.Ticket), zap.String("peer", peer))
+	u.entry.SetHalted(halt.Service, halt.Version, halt.Ticket)
+}
+
 // publishCrashes publishes the new crash fingerprints and removes the expired ones.
 func (u *zoneUpdates) publishCrashes(now time.Time) {
 	for crash, expiry := range u.publishedCrashes {
@@ -85,7 +96,7 @@
 // apply applies an update that another host of the zone published.
 func (u *zoneUpdates) apply(update gossip.Update) {
 	if update.Halt != nil {
-		u.entry.SetHalted(update.Halt.Service, update.Halt.Version, update.Halt.Ticket)
+		u.applyHalt(*update.Halt, update.Host)
 	}
 	if update.Crash != nil {
 		u.exit.AddCrashFingerprint(exit.CrashFingerprint{
