Judge a new version also where the old one has no requests

What callers saw: a bad version of counter got all requests, and still did 5,052 ms after its 50th bad answer; rollouts of such versions were completed.

Cause: the detector compares the versions in each cell (a route in a zone) of a window. With no requests of the old version in the cell, the nearest null hypothesis is the alternative itself and the e-value is 1, whatever the new version answers. So nothing counted while a version settled at its final share, nor in a zone whose old targets were gone. From settle the rollout completed after a fixed time, however far the evidence had come.

TestBadVersionWithoutOldRequestsToCompareIsRolledBack failed before: 24 of 24 severe versions that are bad with all requests were done, and 2 in a zone without old hosts got requests for 6 s.

--- a/coord/detect/detect.go
+++ b/coord/detect/detect.go
@@ -244,8 +244,13 @@
 	d.window = d.window[:0]
 	warmingUp := d.warmUpRemaining > 0
 	d.warmUpRemaining = max(0, d.warmUpRemaining-1)
+	expected := newExpectedRates(d.cells)
 	for _, c := range d.cells {
-		c.computeEvidence(d.config, warmingUp)
+		if c.window[OldVersion].requests > 0 {
+			c.computeEvidence(d.config, warmingUp)
+		} else {
+			c.computeUncomparedEvidence(d.config, warmingUp, expected)
+		}
 	}
 	for _, s := range d.scopes {
 		s.bet(d.config.WindowLimit)
--- a/coord/internal/trial/traffic.go
+++ b/coord/internal/trial/traffic.go
@@ -12,7 +12,6 @@
 )
 
 // OldHosts and NewHosts are the numbers of hosts of the two versions of the simulated service.
-// The hosts of each version are assigned to the zones in turn.
 const (
 	OldHosts = 6
 	NewHosts = 6
@@ -45,6 +44,8 @@
 	SinceNewHosts int
 	// Load is the load of a host as a fraction of an old host's load before the rollout.
 	Load float64
+	// Share is the share of the requests that the new version receives, from 0 to 1.
+	Share float64
 }
 
 // Effect is what is added to the base probabilities of a failure and of a slow response.
@@ -60,6 +61,8 @@
 	Bad bool
 	// Rate is the traffic of the service in requests per second.
 	Rate float64
+	// OldZones are the zones in which the old version has hosts; nil means all.
+	OldZones []string
 	// Draw returns the effect under given conditions and the second from which the version is
 	// bad. The argument seconds is the time up to the deadline.
 	Draw func(r *rand.Rand, seconds int) (effect func(Conditions) Effect, since int)
@@ -118,6 +121,20 @@
 	}}
 }
 
+// UncomparedScenarios returns scenarios of a version that is bad only where the old version has no
+// requests to compare its own with.
+func UncomparedScenarios() []Scenario {
+	allRequests := failing("all requests", func(*rand.Rand, int) (func(Conditions) bool, int) {
+		return func(c Conditions) bool { return c.Share == 1 }, 0
+	})
+	otherZone := failing("zone without old hosts", func(r *rand.Rand, seconds int) (func(Conditions) bool, int) {
+		since := int((0.2 + 0.3*r.Float64()) * float64(seconds))
+		return func(c Conditions) bool { return c.Second >= since && c.Zone == zones[0] }, since
+	})
+	otherZone.OldZones = zones[1:]
+	return []Scenario{allRequests, otherZone}
+}
+
 // failingAtOnce returns a scenario whose new version fails from the start, everywhere.
 func failingAtOnce() Scenario {
 	return failing("at once", func(*rand.Rand, int) (func(Conditions) bool, int) {
@@ -211,21 +228,27 @@
 	var o outcomes
 	fraction := float64(decision.Share) / revision.FullShare
 	hosts := max(1, decision.hosts())
-	o.drawVersion(r, effect, Conditions{Second: second, Version: detect.OldVersion, Load: 1 - fraction}, scenario.Rate*(1-fraction), OldHosts)
+	oldZones := scenario.OldZones
+	if oldZones == nil {
+		oldZones = zones
+	}
+	old := Conditions{Second: second, Version: detect.OldVersion, Load: 1 - fraction, Share: fraction}
+	o.drawVersion(r, effect, old, scenario.Rate*(1-fraction), OldHosts, oldZones)
 	load := fraction * OldHosts / float64(hosts)
-	o.drawVersion(r, effect, Conditions{Second: second, SinceNewHosts: sinceNewHosts, Version: detect.NewVersion, Load: load}, scenario.Rate*fraction, hosts)
+	new := Conditions{Second: second, SinceNewHosts: sinceNewHosts, Version: detect.NewVersion, Load: load, Share: fraction}
+	o.drawVersion(r, effect, new, scenario.Rate*fraction, hosts, zones)
 	return o
 }
 
-// drawVersion adds the requests of one version.
-func (o *outcomes) drawVersion(r *rand.Rand, effect func(Conditions) Effect, c Conditions, rate float64, hosts int) {
-	perZone := make([]float64, len(zones))
+// drawVersion adds the requests of one version, whose hosts are assigned to the zones in turn.
+func (o *outcomes) drawVersion(r *rand.Rand, effect func(Conditions) Effect, c Conditions, rate float64, hosts int, inZones []string) {
+	perZone := make([]float64, len(inZones))
 	for host := range hosts {
-		perZone[host%len(zones)] += 1 / float64(hosts)
+		perZone[host%len(inZones)] += 1 / float64(hosts)
 	}
 	for z, zoneFraction := range perZone {
 		for _, route := range routes {
-			c.Zone, c.Route = zones[z], route.name
+			c.Zone, c.Route = inZones[z], route.name
 			o.drawCell(r, effect(c), c, poisson(r, rate*zoneFraction*route.fraction))
 		}
 	}
--- a/coord/internal/trial/trial.go
+++ b/coord/internal/trial/trial.go
@@ -48,10 +48,18 @@
 	ExposedRequests uint64
 	// TimeToZero is the time from the first spoiled request to a share of zero.
 	TimeToZero time.Duration
+	// BadRequests counts the spoiled requests. TimeFromBad is the time from the one that made it
+	// badAnswers to a share of zero.
+	BadRequests uint64
+	TimeFromBad time.Duration
 	// Elapsed is the time from the start to the verdict.
 	Elapsed time.Duration
 }
 
+// badAnswers is the number of spoiled requests after which a version is to get no further requests
+// within a bounded time.
+const badAnswers = 50
+
 // applyDelay is the number of windows until a decision is in force on all hosts.
 const applyDelay = 1
 
@@ -66,7 +74,7 @@
 	r := rand.New(rand.NewPCG(seed, hash.Sum64()))
 	seconds := int(window / time.Second)
 	effect, _ := scenario.Draw(r, seconds)
-	run := runner{scenario: scenario, effect: effect, rand: r, firstSpoiled: -1}
+	run := runner{scenario: scenario, effect: effect, rand: r, firstSpoiled: -1, badSince: -1}
 	decider := start(startTime, startTime.Add(window))
 	for second := 1; second <= seconds; second++ {
 		if run.runSecond(decider, second) {
@@ -87,6 +95,7 @@
 	maxHosts      int        // maximum number of hosts of the new version that received requests
 	sinceNewHosts int        // seconds since maxHosts increased
 	firstSpoiled  int        // second of the first spoiled request, or -1
+	badSince      int        // second in which the spoiled requests reached badAnswers, or -1
 	result        Result
 }
 
@@ -108,6 +117,10 @@
 	if r.firstSpoiled < 0 && drawn.spoiled > 0 {
 		r.firstSpoiled = second
 	}
+	r.result.BadRequests += drawn.spoiled
+	if r.badSince < 0 && r.result.BadRequests >= badAnswers {
+		r.badSince = second
+	}
 	next := decider.Decide(drawn.samples, startTime.Add(time.Duration(second)*time.Second))
 	r.decisions = append(r.decisions, next)
 	r.result.MaxShare = max(r.result.MaxShare, next.Share)
@@ -120,6 +133,10 @@
 		r.result.ExposedRequests += uint64(applyDelay) * drawn.newRequests
 		r.result.TimeToZero = time.Duration(second+applyDelay-r.firstSpoiled) * time.Second
 	}
+	if r.badSince >= 0 {
+		startOfWindow := r.badSince - 1
+		r.result.TimeFromBad = time.Duration(second+applyDelay-startOfWindow) * time.Second
+	}
 	return true
 }
 
@@ -133,7 +150,7 @@
 	sum := 0.0
 	for _, route := range routes {
 		for _, zone := range zones {
-			e := effect(Conditions{Second: seconds, Version: detect.NewVersion, Route: route.name, Zone: zone, SinceNewHosts: seconds, Load: 1})
+			e := effect(Conditions{Second: seconds, Version: detect.NewVersion, Route: route.name, Zone: zone, SinceNewHosts: seconds, Load: 1, Share: 1})
 			sum += route.fraction * (e.Failures + e.Slow) / float64(len(zones))
 		}
 	}
--- a/coord/rollout/short_test.go
+++ b/coord/rollout/short_test.go
@@ -10,6 +10,7 @@
 
 	"sassafrasnotch.example/coord/internal/trial"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/ticket"
 )
 
 // Parameters of rollouts that complete within seconds.
@@ -64,3 +65,50 @@
 	}
 	t.Log("\n" + strings.Join(rows, "\n"))
 }
+
+// rollbackBound is the time from the 50th bad answer of a version after which it gets no requests.
+const rollbackBound = 5 * time.Second
+
+func TestBadVersionWithoutOldRequestsToCompareIsRolledBack(t *testing.T) {
+	for _, scenario := range trial.UncomparedScenarios() {
+		t.Run(scenario.Name, func(t *testing.T) {
+			is := is.New(t)
+			bad, missed := 0, 0
+			for i := range uint64(trialRollouts) {
+				if trial.Severity(scenario, *trialSeed+i, shortWindow) < severeFraction {
+					continue
+				}
+				r := trial.Run(scenario, *trialSeed+i, shortWindow, startBounded)
+				bad++
+				if r.Verdict != ticket.RolledBack || r.TimeFromBad > rollbackBound {
+					missed++
+					t.Logf("seed %d: %v, %d bad answers, %v: %s", *trialSeed+i, r.Verdict, r.BadRequests, r.TimeFromBad, r.Reason)
+				}
+			}
+			is.True(bad > 0)
+			is.True(missed <= 1) // the detector's error probabilities allow one in 30
+		})
+	}
+}
+
+func TestGoodVersionInAZoneWithoutOldHostsIsCompleted(t *testing.T) {
+	for _, scenario := range trial.Scenarios() {
+		if scenario.Bad || scenario.Rate < 100 || scenario.Name == "cold start" {
+			continue
+		}
+		scenario.OldZones = []string{"b", "c"}
+		t.Run(scenario.Name, func(t *testing.T) {
+			is := is.New(t)
+			done := 0
+			for i := range uint64(trialRollouts) {
+				r := trial.Run(scenario, *trialSeed+i, shortWindow, startBounded)
+				if r.Verdict == ticket.Completed {
+					done++
+					continue
+				}
+				t.Logf("seed %d: %s", *trialSeed+i, r.Reason)
+			}
+			is.True(done >= trialRollouts-1)
+		})
+	}
+}
