Plan the load of a rollout's hosts for all hosts that it will have

What callers saw: a bad version of counter got 467 requests of 3,334 where 383 were allowed, or all of them at once: its rollout went from 10% spread over all hosts to the final share.

Cause: the first hosts of a new version become ready one by one, and the plan was made with those that were ready at the first tick. With one or two of five, the share of one host was taken for 100 or 50% of the requests: the level that puts a usual load on one host either fell out, so that a version that is bad under load was never loaded before its final share, or sent half of all requests to one host.

TestRolloutPlannedBeforeAllHostsAreReadyLoadsEachHostAsUsual failed before with 1, 2, 3 and 4 of 5 hosts ready.

--- a/coord/rollout/policy.go
+++ b/coord/rollout/policy.go
@@ -121,6 +121,9 @@
 // carries about its regular load (see Hosts.hostsFor).
 func (s *State) plan(policy Policy, e Evidence, now time.Time) {
 	hosts := e.Hosts
+	if s.Settle > 0 {
+		hosts.To = max(hosts.To, hosts.From) // it completes only once about as many hosts are ready
+	}
 	planned := time.Duration(float64(s.Deadline.Sub(now)-s.Settle.Std()) * policy.PlanFraction)
 	canaryTime := time.Duration(float64(planned) * policy.CanaryFraction)
 	bakeTime := time.Duration(float64(planned) * policy.BakeFraction)
--- a/coord/rollout/short_test.go
+++ b/coord/rollout/short_test.go
@@ -112,3 +112,27 @@
 		})
 	}
 }
+
+func TestRolloutPlannedBeforeAllHostsAreReadyLoadsEachHostAsUsual(t *testing.T) {
+	const oldHosts = 5
+	usualLoad := Hosts{From: oldHosts, To: oldHosts}.sharePerHost()
+	for ready := 1; ready <= oldHosts; ready++ {
+		t.Run(fmt.Sprintf("%d ready", ready), func(t *testing.T) {
+			is := is.New(t)
+			s := NewState("orders", testRollout(shortWindow), revision.PreferBounded, testStart)
+			s.Settle = revision.Duration(shortSettle)
+			s, _ = Next(s, Evidence{Hosts: Hosts{From: oldHosts, To: ready}, Reporting: true, Rate: 200}, testStart)
+			loaded := false
+			for _, level := range s.Levels[:len(s.Levels)-1] {
+				hosts := level.Hosts
+				if hosts == 0 {
+					hosts = oldHosts
+				}
+				load := float64(level.Share) / float64(hosts) / usualLoad
+				is.True(load <= 1+loadTolerance)
+				loaded = loaded || load >= 1-loadTolerance
+			}
+			is.True(loaded) // a version that is bad under load shows before it gets all requests
+		})
+	}
+}
