Bound each wait for changes by the time to apply a configuration

What callers saw: routes that had been added were refused with 404, 'version 10 was acked more than 2000 ms before', on all machines at once.

Cause: connections may go silent for good while new ones work. The zone readers waited for changes for 10 s on one connection, and only its keepalive (4 s) ended the wait, so that no daemon had a configuration that was confirmed meanwhile and none could tell the others. A read after that took another idle connection that was silent too, for 2 s each.

TestConnectionToTheStoreThatFallsSilentDelaysNoConfiguration failed before (not within 10 s, bound 2 s), as did TestReadAfterASilentConnectionUsesANewOne.

Change: the store may hold a response back for 0.35 of the apply bound; without a response within 0.15 more the next request asks for one at once.

Why it works: pause, wait and reply time add up to 0.8 of the bound, and the rest is for a request on a new connection, whatever hides the silence: a kernel timer would be satisfied by a proxy that still acknowledges.

--- a/mesh/source/follower.go
+++ b/mesh/source/follower.go
@@ -26,6 +26,9 @@
 	reportReachable func(reachable bool)
 	// reread ends a wait for changes and makes the next exchange a read of all rows; it may be nil.
 	reread <-chan struct{}
+	// wait is the time for which the store may hold back a response without changes, replyTime the time
+	// that the response may take in addition.
+	wait, replyTime time.Duration
 	// pause is the delay after each successful exchange, so that changes in quick succession share a
 	// read.
 	pause time.Duration
@@ -38,6 +41,9 @@
 	restart bool
 	// initialized is set once all rows were read.
 	initialized bool
+	// overdue is set if a wait for changes brought no response in time. The next one requests a response
+	// at once, since the connection may have stopped delivering.
+	overdue bool
 }
 
 // run follows until the context ends or the follower is idle.
@@ -51,6 +57,9 @@
 		case errors.Is(err, errReread):
 			f.logger.Info("reading all rows without waiting for the change feed", zap.String("rows", f.name), zap.Uint64("after", f.after), zap.Error(err))
 			f.restart = true
+		case errors.Is(err, errOverdue):
+			f.logger.Info("no response from the change feed; asking again", zap.String("rows", f.name), zap.Error(err))
+			f.overdue = true
 		case errors.Is(err, store.ErrTrimmed):
 			f.logger.Info("change history of the store is trimmed; reading all rows", zap.String("rows", f.name), zap.Uint64("after", f.after))
 			f.restart = true
@@ -66,7 +75,7 @@
 			if !f.initialized {
 				pause = max(pause, f.firstPause)
 			}
-			f.initialized, f.restart = true, false
+			f.initialized, f.restart, f.overdue = true, false, false
 			f.after = f.through(changes)
 			f.apply(changes)
 			sleep(ctx, pause)
@@ -82,9 +91,15 @@
 	return f.awaitChanges(ctx)
 }
 
-// awaitChanges waits for changes. The error is errReread if a signal on reread ended the wait.
+// awaitChanges waits for changes. The error is errReread if a signal on reread ended the wait, and
+// errOverdue if the response did not arrive in time.
 func (f *follower[C]) awaitChanges(ctx context.Context) (C, error) {
-	waitCtx, cancel := context.WithCancelCause(ctx)
+	if f.overdue {
+		return f.await(ctx, f.after, 0)
+	}
+	timeoutCtx, stop := context.WithTimeoutCause(ctx, f.wait+f.replyTime, errOverdue)
+	defer stop()
+	waitCtx, cancel := context.WithCancelCause(timeoutCtx)
 	defer cancel(nil)
 	go func() {
 		select {
@@ -93,15 +108,18 @@
 		case <-waitCtx.Done():
 		}
 	}()
-	changes, err := f.await(waitCtx, f.after, longPollTimeout)
-	if err != nil && errors.Is(context.Cause(waitCtx), errReread) {
-		err = errReread
+	changes, err := f.await(waitCtx, f.after, f.wait)
+	if cause := context.Cause(waitCtx); err != nil && (errors.Is(cause, errReread) || errors.Is(cause, errOverdue)) {
+		err = cause
 	}
 	return changes, err
 }
 
-// errReread ends a wait for changes because another daemon has a newer revision.
-var errReread = errors.New("another daemon has a newer revision")
+// Causes that end a wait for changes.
+var (
+	errReread  = errors.New("another daemon has a newer revision")
+	errOverdue = errors.New("no response in time")
+)
 
 // sleep returns after the wait or when the context ends.
 func sleep(ctx context.Context, wait time.Duration) {
--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// longPollTimeout is the time for which the store may hold back a response without changes. Each
-	// request has a cost, but a lost response is detected only when the time is over.
-	longPollTimeout = 10 * time.Second
 	// minRetryBackoff and maxRetryBackoff bound the backoff after a failed read. The first one is
 	// short, since a changed configuration has to be in force within Timing.ApplyWithin.
 	minRetryBackoff = 100 * time.Millisecond
@@ -35,9 +32,14 @@
 	Settle time.Duration
 }
 
-// changePauseFraction is the fraction of Timing.ApplyWithin that passes between a change and the
-// next request for changes. Most of the bound remains for a read that fails.
-const changePauseFraction = 0.3
+// Fractions of Timing.ApplyWithin. A connection to the store that stops delivering is detected within
+// their sum and replyFraction, and the remaining time is for a request on another connection.
+const (
+	// changePauseFraction passes between a change and the next request for changes.
+	changePauseFraction = 0.3
+	// storeWaitFraction is the time for which the store may hold back a response without changes.
+	storeWaitFraction = 0.35
+)
 
 // startPauseFraction is the fraction of Timing.ApplyWithin that passes between the first read of a
 // starting daemon and its first request for changes. In that time it mostly learns from the
@@ -187,6 +189,8 @@
 		idle:            s.idle,
 		reportReachable: s.recordReachable,
 		reread:          s.reread,
+		wait:            s.applyFraction(storeWaitFraction),
+		replyTime:       s.applyFraction(replyFraction),
 		pause:           s.applyFraction(changePauseFraction),
 		firstPause:      s.applyFraction(startPauseFraction),
 	}
@@ -248,6 +252,8 @@
 		apply:           s.applyRollouts,
 		idle:            func() bool { return s.idle() || !s.rolloutRunning() },
 		reportReachable: func(bool) {},
+		wait:            s.applyFraction(storeWaitFraction),
+		replyTime:       s.applyFraction(replyFraction),
 	}
 	for {
 		select {
--- a/mesh/source/source_test.go
+++ b/mesh/source/source_test.go
@@ -33,6 +33,7 @@
 	delay    time.Duration // of changes that a call of Await finds
 	trimmed  bool          // makes the next Await return store.ErrTrimmed
 	failing  int           // number of the next reads that fail
+	silent   bool          // the connection delivers nothing, until a call gives up and opens another one
 	reads    int           // number of reads so far
 	awaited  int           // number of those that a call of Await made
 	// rolloutReads is the number of reads of all rows of rollouts so far.
@@ -92,21 +93,56 @@
 	if trimmed {
 		return OperatorChanges{}, store.ErrTrimmed
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait+fakeTimeout)
+	defer cancel()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	if r.lost(ctx) {
+		return OperatorChanges{}, store.ErrUnavailable
+	}
 	if changes.Through > after {
 		sleep(ctx, delay)
 		return changes, ctx.Err()
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
 	select {
 	case <-changed:
-		r.mu.Lock()
-		r.awaited++
-		r.mu.Unlock()
-		return r.Read(context.Background())
+	case <-timer.C:
 	case <-ctx.Done():
 		return OperatorChanges{Through: after}, ctx.Err()
 	}
+	if r.lost(ctx) {
+		return OperatorChanges{}, store.ErrUnavailable
+	}
+	r.mu.Lock()
+	changes = r.changes
+	found := changes.Through > after
+	if found {
+		r.awaited++
+	}
+	r.mu.Unlock()
+	if !found {
+		return OperatorChanges{Through: after}, nil
+	}
+	return r.Read(context.Background())
+}
+
+// fakeTimeout is the time for which a client waits for a response of the store.
+const fakeTimeout = 2 * time.Second
+
+// lost reports whether the connection of a call is silent. It returns when the call gives up, and the
+// next call has a new connection.
+func (r *fakeStore) lost(ctx context.Context) bool {
+	r.mu.Lock()
+	silent := r.silent
+	r.mu.Unlock()
+	if !silent {
+		return false
+	}
+	<-ctx.Done()
+	r.mu.Lock()
+	r.silent = false
+	r.mu.Unlock()
+	return true
 }
 
 func (r *fakeStore) ReadRollouts(context.Context) (RolloutChanges, error) {
@@ -388,6 +424,32 @@
 	is.True(r.reads < versions/5) // 0.6 s contain two or three pauses of 0.3 s
 }
 
+func TestConnectionToTheStoreThatFallsSilentDelaysNoConfiguration(t *testing.T) {
+	for _, after := range []time.Duration{10 * time.Millisecond, 500 * time.Millisecond} { // the previous configuration
+		t.Run(after.String(), func(t *testing.T) {
+			is := is.New(t)
+			r := newFakeStore()
+			r.configure(1, "/a/")
+			s := newSource(r)
+			s.timing.ApplyWithin = 2 * time.Second
+			s.Start()
+			t.Cleanup(s.Stop)
+			eventually(t, "the first configuration", func() bool { return s.number() == 1 })
+			time.Sleep(s.applyFraction(startPauseFraction))
+			r.configure(2, "/a/")
+			eventually(t, "the second configuration", func() bool { return s.number() == 2 })
+			time.Sleep(after)
+			r.mu.Lock()
+			r.silent = true
+			r.mu.Unlock()
+			r.configure(3, "/a/", "/b/")
+			written := time.Now()
+			eventually(t, "the third configuration", func() bool { return s.number() == 3 })
+			is.True(time.Since(written) < s.timing.ApplyWithin)
+		})
+	}
+}
+
 // The rows of operators and of rollouts are read separately. A configuration may arrive after the
 // row of a rollout that was written later, and still has to be put in force.
 func TestConfigurationAfterALaterRolloutIsApplied(t *testing.T) {
--- a/mesh/standin/platformserver/server_test.go
+++ b/mesh/standin/platformserver/server_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -258,3 +260,32 @@
 		})
 	}
 }
+
+func TestReadAfterASilentConnectionUsesANewOne(t *testing.T) {
+	is := is.New(t)
+	type epochKey struct{}
+	var epoch atomic.Int64
+	handler := platformserver.New().Handler()
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Context().Value(epochKey{}).(int64) != epoch.Load() {
+			<-r.Context().Done() // the connection was opened before the silence
+			return
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	server.Config.ConnContext = func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, epochKey{}, epoch.Load())
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	client := newClient(t, server.URL, 200*time.Millisecond)
+	read := func() error { _, err := client.Scan(t.Context(), "a", "", 1); return err }
+	var parallel sync.WaitGroup
+	for range 3 { // leaves several idle connections
+		parallel.Go(func() { _ = read() })
+	}
+	parallel.Wait()
+	epoch.Add(1)
+	is.True(errors.Is(read(), store.ErrUnavailable))
+	is.NoErr(read())
+}
