Keep the halt of the latest rollout when an earlier one arrives

What callers may see: requests of a host that has just started still go to a halted bad version.

Cause: an entry holds one halt for each service, the last that arrived. Halts stay in the gossip for an hour, and a host that joins receives those of all rollouts in any order. The halt of an earlier rollout replaced that of the running one, and each update is delivered only once.

Evidence: TestHaltOfAnEarlierRolloutDoesNotEndALaterOne failed before.

Change: a halt of a lower ticket does not replace one of a higher ticket. Tickets of a service only rise, both as numbers of operators and as versions of the store.

--- a/mesh/entry/routing.go
+++ b/mesh/entry/routing.go
@@ -125,9 +125,14 @@
 	return retry.NewBudget(r.limits())
 }
 
+// setHalted halts a version, unless a later rollout of the service was halted: a host that joins
+// receives the halts of all rollouts in any order.
 func (r *routing) setHalted(service, version string, ticket uint64) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if (*r.halts.Load())[service].ticket > ticket {
+		return
+	}
 	halts := maps.Clone(*r.halts.Load())
 	halts[service] = halt{version, ticket}
 	r.halts.Store(&halts)
--- a/mesh/entry/routing_test.go
+++ b/mesh/entry/routing_test.go
@@ -45,6 +45,16 @@
 	is.Equal(get(), "old") // no target of the new version is known
 }
 
+func TestHaltOfAnEarlierRolloutDoesNotEndALaterOne(t *testing.T) {
+	is := is.New(t)
+	r := newRouting(balance.Locality{}, testSettings().Retry, time.Second)
+	r.setHalted("orders", "v3", 8)
+	r.setHalted("orders", "v2", 7) // arrives late, as after a restart of this host
+	is.True((*r.halts.Load())["orders"].covers(&revision.Rollout{Ticket: 8, To: "v3"}))
+	r.setHalted("orders", "v4", 9)
+	is.True((*r.halts.Load())["orders"].covers(&revision.Rollout{Ticket: 9, To: "v4"}))
+}
+
 func TestRefusedByNewVersionRunsOnTheStableOne(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, testSettings(), nil, map[string]hostHandler{
