Ask for halts in zones without targets of the service

What callers may see: requests of a zone without targets of a service still go to a bad version that was halted in all zones.

Cause: halts reach a zone in the replies to outcome reports, and only hosts with counts report. A zone whose targets of the service are gone has none, and learns of the halt from the rollout's row alone, as soon as the controller and the zone's readers reach the store.

Change: the two collectors of each zone report each second while a rollout runs, counts or not; their zone hears of halts by gossip as before. Two control requests of about 100 bytes a second to each candidate and zone more, while a rollout runs.

--- a/mesh/outcomes/outcomes.go
+++ b/mesh/outcomes/outcomes.go
@@ -101,19 +101,36 @@
 		}
 	}
 	halts := r.config.Controllers.Halts()
+	members := r.config.Members.Members()
 	for _, rollout := range rollouts {
 		counts := byService[rollout.Service]
-		if len(counts) > 0 || hasHalt(halts, rollout.Service) {
-			r.reportRollout(ctx, rollout, counts, halts)
+		collectors := r.collectors(rollout.Service, members)
+		// The replies tell a zone of halts. A collector asks for them without counts too, because its zone
+		// may have no targets of the service.
+		if len(counts) > 0 || hasHalt(halts, rollout.Service) || slices.Contains(collectors, r.config.Host) {
+			r.reportRollout(ctx, rollout, counts, halts, members, collectors)
 		}
 	}
 }
 
+// collectors returns the hosts of this zone that watch the rollout of a service locally.
+func (r *Reporter) collectors(service string, members []gossip.Member) []string {
+	var zone []string
+	for _, member := range members {
+		if member.Zone == r.config.Zone && member.Status != gossip.Dead && !member.Leaving {
+			zone = append(zone, member.Host)
+		}
+	}
+	return rendezvous.Top("collector/"+service, zone, collectorsPerZone)
+}
+
 func hasHalt(halts []*peerpb.Trip, service string) bool {
 	return slices.ContainsFunc(halts, func(halt *peerpb.Trip) bool { return halt.Service == service })
 }
 
-func (r *Reporter) reportRollout(ctx context.Context, rollout controller.Rollout, counts []*peerpb.OutcomeCount, halts []*peerpb.Trip) {
+// reportRollout sends a report to the collectors of the zone and to the hosts that control the rollout
+// or would take over its control.
+func (r *Reporter) reportRollout(ctx context.Context, rollout controller.Rollout, counts []*peerpb.OutcomeCount, halts []*peerpb.Trip, members []gossip.Member, collectors []string) {
 	r.sequence++
 	report := &peerpb.OutcomeReport{
 		Host:        r.config.Host,
@@ -122,31 +139,12 @@
 		Counts:      counts,
 		Trips:       halts,
 	}
-	for _, member := range r.receivers(rollout) {
-		go r.send(ctx, member, report)
-	}
-}
-
-// receivers returns the zone's collectors and the hosts that control the rollout or would
-// take over its control.
-func (r *Reporter) receivers(rollout controller.Rollout) []gossip.Member {
-	byHost := make(map[string]gossip.Member)
-	var zone []string
-	for _, member := range r.config.Members.Members() {
-		byHost[member.Host] = member
-		if member.Zone == r.config.Zone && member.Status != gossip.Dead && !member.Leaving {
-			zone = append(zone, member.Host)
-		}
-	}
-	hosts := append(r.config.Controllers.CandidateHosts(rollout), rendezvous.Top("collector/"+rollout.Service, zone, collectorsPerZone)...)
-	slices.Sort(hosts)
-	var receivers []gossip.Member
-	for _, host := range slices.Compact(hosts) {
-		if member, known := byHost[host]; known {
-			receivers = append(receivers, member)
+	receivers := slices.Concat(r.config.Controllers.CandidateHosts(rollout), collectors)
+	for _, member := range members {
+		if slices.Contains(receivers, member.Host) {
+			go r.send(ctx, member, report)
 		}
 	}
-	return receivers
 }
 
 func (r *Reporter) send(ctx context.Context, member gossip.Member, report *peerpb.OutcomeReport) {
