Reject rollout rows from which no split follows

What callers may see: no later configuration comes into force on any daemon.

Evidence: TestInvalidRolloutRowDelaysNoConfiguration and four rows of TestDecodeRejects failed before.

Change: the state of a rollout is valid only if it names two versions and its share is in range. It is checked on each way in: the store, another daemon, and where the rows are put together, which keeps the present row and still adds the others.

--- a/coord/rollout/rollout_test.go
+++ b/coord/rollout/rollout_test.go
@@ -226,9 +226,13 @@
 func TestDecodeRejects(t *testing.T) {
 	for name, data := range map[string]string{
 		"not JSON":                      `{`,
-		"unknown step":                  `{"step":"leap"}`,
-		"no planned levels":             `{"step":"canary"}`,
-		"level beyond the planned ones": `{"step":"ramp","level":1,"levels":[{"share":100}]}`,
+		"no versions":                   `{"service":"desk","step":"announced"}`,
+		"one version":                   `{"service":"desk","from":"v1","to":"v1","step":"announced"}`,
+		"share above the whole":         `{"service":"desk","from":"v1","to":"v2","step":"announced","share":10001}`,
+		"negative share":                `{"service":"desk","from":"v1","to":"v2","step":"announced","share":-1}`,
+		"unknown step":                  `{"service":"desk","from":"v1","to":"v2","step":"leap"}`,
+		"no planned levels":             `{"service":"desk","from":"v1","to":"v2","step":"canary"}`,
+		"level beyond the planned ones": `{"service":"desk","from":"v1","to":"v2","step":"ramp","level":1,"levels":[{"share":100}]}`,
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := Decode([]byte(data))
--- a/coord/rollout/state.go
+++ b/coord/rollout/state.go
@@ -147,9 +147,16 @@
 	return s, nil
 }
 
-// Validate returns an error if no controller can continue from the state: its step is not in the
-// chart, or it has no planned level to grow to.
+// Validate returns an error if no controller can continue from the state, or no split follows from it:
+// its step is not in the chart, it has no planned level to grow to, its share is out of range, or it
+// names no two versions.
 func (s *State) Validate() error {
+	if s.Service == "" || s.From == "" || s.To == "" || s.From == s.To {
+		return fmt.Errorf("service %q: from version %q to %q", s.Service, s.From, s.To)
+	}
+	if s.Share < 0 || s.Share > revision.FullShare {
+		return fmt.Errorf("service %s: share %d is outside 0 to %d", s.Service, s.Share, revision.FullShare)
+	}
 	if !chart.HasState(s.Step) {
 		return fmt.Errorf("service %s: step %q is not a state of the rollout chart", s.Service, s.Step)
 	}
--- a/mesh/source/handover.go
+++ b/mesh/source/handover.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -95,26 +96,25 @@
 	return rows
 }
 
-// merge adds the rows of another daemon as if they had been read from the store. If their
-// configuration is not valid, it returns an error, keeps the present configuration and still adds
-// the other rows.
+// merge adds the rows of another daemon as if they had been read from the store. If any is not valid,
+// it returns an error, keeps the present one and still adds the other rows.
 func (s *rowState) merge(rows rowSet) error {
-	var err error
+	var problems []error
 	if rows.Configuration != nil {
-		err = s.addConfiguration(*rows.Configuration)
+		problems = append(problems, s.addConfiguration(*rows.Configuration))
 	}
 	for _, order := range rows.Orders {
 		s.addOrder(order.RolloutOrder, order.ObservedAt)
 	}
 	for _, row := range rows.Rollouts {
-		s.addRollout(row)
+		problems = append(problems, s.addRollout(row))
 	}
 	for service, versions := range rows.Barred {
 		for _, version := range versions {
 			s.bar(service, version)
 		}
 	}
-	return err
+	return errors.Join(problems...)
 }
 
 // encode returns the encoded and compressed rows. They are compressed because a configuration
--- a/mesh/source/row_state.go
+++ b/mesh/source/row_state.go
@@ -71,16 +71,21 @@
 	return true
 }
 
-// addRollout adds the row of a rollout if it is newer than the present one of its service.
-func (s *rowState) addRollout(row RolloutRow) {
+// addRollout adds the row of a rollout if it is newer than the present one of its service. If the row is
+// not valid, it returns an error and keeps the present one: no snapshot could be composed any more.
+func (s *rowState) addRollout(row RolloutRow) error {
 	if present, ok := s.rollouts[row.Service]; ok && present.StoreVersion >= row.StoreVersion {
-		return
+		return nil
+	}
+	if err := row.Validate(); err != nil {
+		return err
 	}
 	s.rollouts[row.Service] = row
 	s.changed = true
 	if row.Verdict == ticket.RolledBack {
 		s.bar(row.Service, row.To)
 	}
+	return nil
 }
 
 // bar records that a version of a service was rolled back.
--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -319,7 +319,9 @@
 		s.reject(invalid.Key, invalid.StoreVersion, invalid.Cause)
 	}
 	for _, row := range changes.Rollouts {
-		s.state.addRollout(row)
+		if err := s.state.addRollout(row); err != nil {
+			s.reject("rollout of "+row.Service, row.StoreVersion, err)
+		}
 	}
 	s.publish(originStore)
 }
--- a/mesh/source/source_test.go
+++ b/mesh/source/source_test.go
@@ -403,6 +403,19 @@
 	}
 }
 
+func TestInvalidRolloutRowDelaysNoConfiguration(t *testing.T) {
+	is := is.New(t)
+	s := newSource(newFakeStore())
+	s.applyOperator(OperatorChanges{Configurations: []Configuration{configuration(4, 1, "/a/")}})
+	s.applyRollouts(RolloutChanges{Rollouts: []RolloutRow{
+		rolloutOf("v2", 2, revision.FullShare+1, ticket.Running, 3),
+		rolloutOf("", 2, 500, ticket.Running, 4),
+	}})
+	s.applyOperator(OperatorChanges{Configurations: []Configuration{configuration(5, 7, "/a/", "/b/")}})
+	_, ok := s.Snapshot().Match("", "/b/x")
+	is.True(ok)
+}
+
 // Versions in quick succession cause one read for each pause after a change, not one for each
 // version, and the last version is in force within Timing.ApplyWithin.
 func TestVersionsInQuickSuccessionShareReads(t *testing.T) {
--- a/mesh/source/zone_reader.go
+++ b/mesh/source/zone_reader.go
@@ -192,7 +192,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.state.merge(rows); err != nil {
-		s.reject("configuration of "+host, rows.Configuration.StoreVersion, err)
+		s.reject("rows of "+host, 0, err)
 	}
 	s.publish(host)
 }
