Read the rate and the leaving that targets state in their responses

What callers saw: nothing; workers that named a limit of requests got more than twice that.

Change: the daemon beside a target reads both fields of each of its responses, logs each change and exposes the rate as sassafras_target_rate_limit and in the status. Values that are no finite number from 0 on, or more than one, are logged and leave the last rate. Nothing acts on it yet.

--- a/mesh/admin/api.go
+++ b/mesh/admin/api.go
@@ -93,6 +93,8 @@
 	Outstanding int    `json:"outstanding"`
 	// Queued is the number of requests that wait for a slot. Only the host of the target knows it.
 	Queued int `json:"queued,omitempty"`
+	// Rate is the number of requests per second that the target takes; absent if it names none.
+	Rate *float64 `json:"rate,omitempty"`
 }
 
 // MemberStatus is a daemon in the member list of the responding daemon.
--- a/mesh/daemon/metrics.go
+++ b/mesh/daemon/metrics.go
@@ -21,7 +21,7 @@
 	entry      *entry.Entry
 	log        *telemetry.Log
 
-	configurationAge, remainingRetries              metric.Float64ObservableGauge
+	configurationAge, remainingRetries, targetRate  metric.Float64ObservableGauge
 	queued                                          metric.Int64ObservableGauge
 	storeFailures                                   metric.Int64ObservableCounter
 	appliedRevision, latestRevision, storeReachable metric.Int64ObservableGauge
@@ -65,6 +65,7 @@
 	g.latestRevision = gauge("sassafras_revision_head", "Newest configuration revision known to exist")
 	g.storeReachable = gauge("sassafras_platform_reachable", "1 if the last operation at the platform succeeded, else 0")
 	g.members = gauge("sassafras_members", "Known daemons, by zone and status")
+	g.targetRate = floatGauge("sassafras_target_rate_limit", "{request}/s", "Requests per second that targets on this host take, where they name a limit")
 	g.targets = gauge("sassafras_targets", "Targets on this host, by service, version and state")
 	g.outstanding = gauge("sassafras_target_outstanding", "Requests in flight at targets on this host")
 	g.controlledRollouts = gauge("sassafras_moves_held", "Running rollouts that this host controls")
@@ -75,7 +76,7 @@
 	if createErr != nil {
 		return createErr
 	}
-	_, err := meter.RegisterCallback(g.observe, g.configurationAge, g.remainingRetries, g.queued, g.storeFailures, g.appliedRevision, g.latestRevision, g.storeReachable, g.members, g.targets,
+	_, err := meter.RegisterCallback(g.observe, g.configurationAge, g.remainingRetries, g.queued, g.storeFailures, g.appliedRevision, g.latestRevision, g.storeReachable, g.members, g.targets, g.targetRate,
 		g.outstanding, g.controlledRollouts, g.callerConnections, g.controlBytes, g.storeRequests, g.droppedLines)
 	return err
 }
@@ -142,6 +143,7 @@
 func (g *gauges) observeTargets(o metric.Observer, status admin.Status) {
 	counts := make(map[targetKey]int64)
 	outstanding, queued := make(map[targetKey]int64), make(map[targetKey]int64)
+	rates := make(map[targetKey]float64)
 	for _, target := range status.Targets {
 		if target.Host != status.Host {
 			continue
@@ -150,6 +152,9 @@
 		counts[key]++
 		outstanding[key] += int64(target.Outstanding)
 		queued[key] += int64(target.Queued)
+		if target.Rate != nil {
+			rates[key] += *target.Rate
+		}
 	}
 	for key, count := range counts {
 		labels := []metric.ObserveOption{
@@ -160,5 +165,8 @@
 		o.ObserveInt64(g.targets, count, labels...)
 		o.ObserveInt64(g.outstanding, outstanding[key], labels...)
 		o.ObserveInt64(g.queued, queued[key], labels...)
+		if rate, limited := rates[key]; limited {
+			o.ObserveFloat64(g.targetRate, rate, labels...)
+		}
 	}
 }
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -285,6 +285,7 @@
 			Slots:       t.Slots,
 			Outstanding: load.Outstanding,
 			Queued:      load.Queued,
+			Rate:        t.namedRate,
 		})
 	}
 	return status
--- a/mesh/exit/conventions.go
+++ b/mesh/exit/conventions.go
@@ -27,6 +27,11 @@
 	// cryptographic signature: its value is not checked. If Signature is not empty, a success
 	// response without the field does not come from the target and is a failure.
 	Signature string
+	// RateLimit names the response field in which a target states how many requests per second it takes,
+	// for as long as it does so.
+	RateLimit string
+	// Leaving names the response field that is 1 once the target takes no further requests.
+	Leaving string
 	// AllowUnframed accepts close-delimited responses (RFC 9112): those with neither a length nor
 	// chunks, which end with their connection.
 	AllowUnframed bool
--- a/mesh/exit/dispatch.go
+++ b/mesh/exit/dispatch.go
@@ -67,6 +67,7 @@
 		defer cancel()
 		c.conn.replaceContext(graceCtx)
 	}
+	c.observeNotice(response)
 	var result result
 	if refusal := c.targetRefusal(response); refusal != nil {
 		result = c.relayRefusal(response, refusal)
--- a/mesh/exit/target.go
+++ b/mesh/exit/target.go
@@ -19,6 +19,9 @@
 	coldUntil   time.Time // end of the cold period that the target states
 	crashNumber uint64    // 0 until the target has crashed
 	conns       *targetPool
+	// namedRate is the number of requests per second that the target takes by its latest response, nil
+	// if it names none.
+	namedRate *float64
 }
 
 func newTarget(a admin.Announcement, config admission.Config, now time.Time) *target {
