Hold the requests to a target to the rate that it names

Cause: nothing read Server-Limit. The daemon beside a worker, which all its requests pass, admitted by slots alone, and the slots of a worker in need serve far more than it names.

Change: admission holds a token for each request. The queue, the estimates, Retry-After and the reported load follow the rate; the membership tells the slots that the rate keeps busy. A target runs at most four requests until its first response, so that a daemon that starts beside it learns the rate first. A second write of a request takes a token too.

Why it works: one process counts every request to the worker, whatever entry, call or retry it comes from, so nothing has to be agreed on.

--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -5,7 +5,8 @@
 // waits) run first, and the queueing delay is estimated from the service times of the
 // classes in the queue, so that short requests are not refused because others are long.
 // Bounding the work in front of each target keeps the queue where requests can still be
-// refused.
+// refused. A target may name a rate besides: it then gets no more requests per second, and the
+// queue, the estimates and the time after which a refused request is to come back follow the rate.
 //
 // The package does no I/O and reads no clock: the caller passes the time and carries out
 // the returned actions.
@@ -20,6 +21,9 @@
 type Config struct {
 	// Slots is the number of requests that the target runs at once.
 	Slots int
+	// InitialSlots bounds Slots until the first response of the target, which may name a rate; 0 means no
+	// bound.
+	InitialSlots int
 	// QueueLength bounds the requests that wait for a slot.
 	QueueLength int
 	// WarmUp is the duration over which the slots of a new target open.
@@ -90,7 +94,8 @@
 	Outstanding int
 	// Queued is the number of requests that wait for one.
 	Queued int
-	// Slots is the number of slots in use or free, without those that warm-up keeps closed.
+	// Slots is the number of slots in use or free, without those that warm-up keeps closed and those
+	// that the rate of the target leaves idle.
 	Slots int
 }
 
@@ -104,6 +109,8 @@
 	service     ewma      // service time over all classes
 	classes     map[string]*serviceEstimate
 	failures    failureRate
+	pacer       pacer
+	responded   bool // see Config.InitialSlots
 }
 
 // NewTarget returns the state of a target that starts at now, without work.
@@ -114,9 +121,53 @@
 // SetSlots changes the number of slots. Running requests are not affected.
 func (t *Target) SetSlots(slots int) { t.config.Slots = slots }
 
+// RecordResponse records that the target has responded, which ends Config.InitialSlots. It returns the
+// actions on queued requests.
+func (t *Target) RecordResponse(now time.Time) []Action {
+	if t.responded {
+		return nil
+	}
+	t.responded = true
+	return t.Tick(now)
+}
+
+// SetRate limits the requests to a rate per second that the target names. Rates below minRate count as
+// minRate. It returns the actions on queued requests.
+func (t *Target) SetRate(rate float64, now time.Time) []Action {
+	t.pacer.setRate(rate, now)
+	return t.Tick(now)
+}
+
+// ClearRate ends the limit of SetRate and returns the actions on queued requests.
+func (t *Target) ClearRate(now time.Time) []Action {
+	t.pacer = pacer{}
+	return t.Tick(now)
+}
+
+// CountRepeat counts a request that reaches the target a second time on the same slot.
+func (t *Target) CountRepeat(now time.Time) { t.pacer.take(now) }
+
+// NextRun returns the time until the next queued request may run by the rate. It reports false if none
+// is queued or a slot has to become free first.
+func (t *Target) NextRun(now time.Time) (time.Duration, bool) {
+	if len(t.queue) == 0 || t.outstanding >= t.openSlots(now) {
+		return 0, false
+	}
+	return t.pacer.delay(0, now), true
+}
+
+// RatedSlots returns the number of slots that the target can keep busy: all, or fewer if it names a
+// rate.
+func (t *Target) RatedSlots() int {
+	if t.pacer.rate == 0 || !t.service.initialized {
+		return t.config.Slots
+	}
+	return min(t.config.Slots, t.pacer.slots(t.service.value))
+}
+
 // Load returns the work at the time now.
 func (t *Target) Load(now time.Time) Load {
-	return Load{Outstanding: t.outstanding, Queued: len(t.queue), Slots: t.openSlots(now)}
+	return Load{Outstanding: t.outstanding, Queued: len(t.queue), Slots: min(t.openSlots(now), t.RatedSlots())}
 }
 
 // Cold reports whether the target is still in its warm-up.
@@ -124,12 +175,31 @@
 
 // Available reports whether a request submitted now would run at once.
 func (t *Target) Available(now time.Time) bool {
-	return !t.leaving && len(t.queue) == 0 && t.outstanding < t.openSlots(now)
+	return !t.leaving && len(t.queue) == 0 && t.mayRun(now)
+}
+
+// mayRun reports whether a slot is free and the rate allows a request now.
+func (t *Target) mayRun(now time.Time) bool {
+	return t.outstanding < t.openSlots(now) && t.pacer.delay(0, now) == 0
+}
+
+// run counts a request that is sent to the target.
+func (t *Target) run(now time.Time) {
+	t.outstanding++
+	t.pacer.take(now)
 }
 
 // openSlots returns the number of slots that are open at the time now. The first one is
 // open from the start; the others open at a constant rate over the warm-up.
 func (t *Target) openSlots(now time.Time) int {
+	open := t.warmSlots(now)
+	if t.config.InitialSlots > 0 && !t.responded {
+		return min(open, t.config.InitialSlots)
+	}
+	return open
+}
+
+func (t *Target) warmSlots(now time.Time) int {
 	if t.config.Slots <= 1 || !t.Cold(now) {
 		return t.config.Slots
 	}
@@ -149,7 +219,7 @@
 	case r.Bounded && r.Draw < t.FailureRate(now):
 		return refusal(r, Overloaded), nil
 	case t.Available(now):
-		t.outstanding++
+		t.run(now)
 		return Action{ID: r.ID, Verdict: Run}, nil
 	}
 	position := t.position(r)
@@ -230,13 +300,13 @@
 }
 
 // queueDelay estimates the time until a request with ahead others before it runs: one
-// running request has to complete, and those ahead have to start.
+// running request has to complete, those ahead have to start, and the rate has to allow it.
 func (t *Target) queueDelay(ahead int, now time.Time) time.Duration {
 	work := t.service.value
 	for _, r := range t.queue[:ahead] {
 		work += t.serviceTime(r.Class, now)
 	}
-	return work / time.Duration(max(t.openSlots(now), 1))
+	return max(work/time.Duration(max(t.openSlots(now), 1)), t.pacer.delay(ahead, now))
 }
 
 // serviceTime estimates how long a request of a class runs. It is 0 for a class without a
@@ -310,14 +380,15 @@
 }
 
 // Tick returns the actions on queued requests that are due at now: those whose deadline
-// has passed are refused, and those for which a slot is open run. Callers call it at
-// regular intervals, since slots open and deadlines pass without another event.
+// has passed are refused, and those for which a slot is open and the rate allows it run. Callers call
+// it at regular intervals, since slots open and deadlines pass without another event, and after
+// NextRun.
 func (t *Target) Tick(now time.Time) []Action {
 	var actions []Action
 	for len(t.queue) > 0 {
 		first := t.queue[0]
 		expired := !now.Before(first.Deadline)
-		if !expired && t.outstanding >= t.openSlots(now) {
+		if !expired && !t.mayRun(now) {
 			break
 		}
 		t.queue = slices.Delete(t.queue, 0, 1)
@@ -325,7 +396,7 @@
 			actions = append(actions, refusal(first, Expired))
 			continue
 		}
-		t.outstanding++
+		t.run(now)
 		actions = append(actions, Action{ID: first.ID, Verdict: Run})
 	}
 	return actions
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -70,7 +70,7 @@
 		request.SoftDeadline = now.Add(bound)
 	}
 	action, shed := t.admission.Submit(request, now)
-	t.deliver(shed)
+	e.deliver(t, shed, now)
 	switch action.Verdict {
 	case admission.Run:
 		e.inFlight++
@@ -122,6 +122,24 @@
 	return (a.Outstanding+a.Queued)*max(b.Slots, 1) < (b.Outstanding+b.Queued)*max(a.Slots, 1)
 }
 
+// deliver passes decisions to the queued requests of a target, and schedules the next one if only the
+// rate of the target holds it back. The caller holds e.mu.
+func (e *Exit) deliver(t *target, actions []admission.Action, now time.Time) {
+	t.deliver(actions)
+	wait, held := t.admission.NextRun(now)
+	if !held || t.runScheduled {
+		return
+	}
+	t.runScheduled = true
+	time.AfterFunc(wait, func() {
+		now := time.Now()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		t.runScheduled = false
+		e.deliver(t, t.admission.Tick(now), now)
+	})
+}
+
 func (c *callerRequest) applyDecision(action admission.Action) *refusal {
 	if action.Verdict == admission.Run {
 		return nil
@@ -151,7 +169,8 @@
 func (e *Exit) releaseUnused(c *callerRequest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	c.target.deliver(c.target.admission.Release(time.Now()))
+	now := time.Now()
+	e.deliver(c.target, c.target.admission.Release(now), now)
 }
 
 // release frees the slot of a request that ran for the elapsed time.
@@ -164,7 +183,7 @@
 	if r.kind == responded || c.ctx.Err() == nil { // a deadline shows nothing about the target
 		c.target.admission.RecordResult(r.failed(), now)
 	}
-	c.target.deliver(c.target.admission.Complete(c.head.Route, elapsed, now))
+	e.deliver(c.target, c.target.admission.Complete(c.head.Route, elapsed, now), now)
 	e.mu.Unlock()
 	e.endInFlight()
 }
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -61,6 +61,9 @@
 	t.Slots = a.Slots
 	t.Sequence = a.Sequence
 	t.admission.SetSlots(a.Slots)
+	if t.namedRate == nil {
+		t.reportedSlots = a.Slots
+	}
 	if a.Leaving {
 		e.recordDeparture(a.Instance, a.Incarnation, now)
 	}
@@ -134,12 +137,19 @@
 	return a.Service == b.Service && a.Version == b.Version && a.Address == b.Address
 }
 
+// initialSlots is the number of requests that a target runs at once until its first response, where a
+// response may name a rate: this process may have started after the target named one.
+const initialSlots = 4
+
 func (e *Exit) addTarget(a admin.Announcement, now time.Time) *target {
 	config := admission.Config{
 		Slots:       a.Slots,
 		QueueLength: e.settings.QueueLength,
 		WarmUp:      e.settings.WarmUp.Std(),
 	}
+	if e.conventions.RateLimit != "" {
+		config.InitialSlots = initialSlots
+	}
 	if a.Incarnation != 0 {
 		// A target that states how long it is cold accepts requests on all its slots at once,
 		// if more slowly. When all targets start together, opening the slots one by one would
@@ -210,7 +220,7 @@
 			e.removeTarget(t)
 			continue
 		}
-		t.deliver(t.admission.Tick(now))
+		e.deliver(t, t.admission.Tick(now), now)
 		t.conns.expire(now)
 	}
 	e.crashes.expire(now)
@@ -261,7 +271,7 @@
 		targets = append(targets, gossip.Target{
 			Service: t.Service,
 			Version: t.Version,
-			Slots:   t.Slots,
+			Slots:   t.reportedSlots,
 			State:   t.stateAt(now),
 		})
 	}
--- a/mesh/exit/dispatch.go
+++ b/mesh/exit/dispatch.go
@@ -48,6 +48,9 @@
 func (c *callerRequest) dispatch() result {
 	response, err := c.exchange(c.target.conns.get)
 	if err != nil && c.retriable() {
+		if c.dispatched {
+			c.exit.countRepeat(c.target)
+		}
 		response, err = c.exchange(c.target.conns.dial) // the target had closed the idle connection
 	}
 	if err == nil {
--- a/mesh/exit/notice.go
+++ b/mesh/exit/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -39,24 +40,50 @@
 	return n, true
 }
 
-// observeNotice records what the target of a response states of itself.
+// observeNotice applies what the target of a response states of itself.
 func (c *callerRequest) observeNotice(response *http.Response) {
 	n, ok := c.notice(response)
 	if !ok {
 		return
 	}
-	c.exit.mu.Lock()
-	defer c.exit.mu.Unlock()
-	c.target.namedRate = c.exit.recordRate(c.target, n.rate)
+	e, t, now := c.exit, c.target, time.Now()
+	e.mu.Lock()
+	if actions := t.admission.RecordResponse(now); len(actions) > 0 {
+		e.deliver(t, actions, now)
+	}
+	changed := !equalRates(n.rate, t.namedRate)
+	if changed {
+		e.setRate(t, n.rate, now)
+	}
+	e.mu.Unlock()
+	if changed {
+		e.notifyChange()
+	}
+}
+
+func equalRates(a, b *float64) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
 }
 
-// recordRate logs a change of the rate that a target names, and returns the rate.
-func (e *Exit) recordRate(t *target, rate *float64) *float64 {
-	switch {
-	case rate == nil && t.namedRate != nil:
+// setRate applies the rate that a target names, nil if it names none. The caller holds e.mu.
+func (e *Exit) setRate(t *target, rate *float64, now time.Time) {
+	t.namedRate = rate
+	if rate == nil {
 		e.log.Info("target names no rate limit any more", zap.String("instance", t.Instance))
-	case rate != nil && (t.namedRate == nil || *rate != *t.namedRate):
+		e.deliver(t, t.admission.ClearRate(now), now)
+	} else {
 		e.log.Info("target names a rate limit", zap.String("instance", t.Instance), zap.Float64("rate", *rate))
+		e.deliver(t, t.admission.SetRate(*rate, now), now)
 	}
-	return rate
+	t.reportedSlots = t.admission.RatedSlots()
+}
+
+// countRepeat counts a request that is written to the target once more.
+func (e *Exit) countRepeat(t *target) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t.admission.CountRepeat(time.Now())
 }
--- a/mesh/exit/target.go
+++ b/mesh/exit/target.go
@@ -22,15 +22,21 @@
 	// namedRate is the number of requests per second that the target takes by its latest response, nil
 	// if it names none.
 	namedRate *float64
+	// reportedSlots is the number of slots that other hosts count on. It follows the rate as of when the
+	// target named it, since each change is told to all hosts.
+	reportedSlots int
+	// runScheduled is set while a timer is to run the next queued request.
+	runScheduled bool
 }
 
 func newTarget(a admin.Announcement, config admission.Config, now time.Time) *target {
 	return &target{
-		Announcement: a,
-		key:          versionKey{a.Service, a.Version},
-		admission:    admission.NewTarget(config, now),
-		waiters:      make(map[uint64]chan admission.Action),
-		conns:        newTargetPool(a.Address, a.Slots),
+		Announcement:  a,
+		key:           versionKey{a.Service, a.Version},
+		admission:     admission.NewTarget(config, now),
+		reportedSlots: a.Slots,
+		waiters:       make(map[uint64]chan admission.Action),
+		conns:         newTargetPool(a.Address, a.Slots),
 	}
 }
 
