Take a target that states its leaving in a response for leaving

Cause: only an announcement or a deregistration made a target leave.

Evidence: TestTargetThatSaysItLeavesGetsNoFurtherRequest failed before: the target was told to no one as leaving and got the next request.

Change: from the first such response on, the daemon beside the target refuses its queued and new requests, tells the other daemons, and records the departure in its row of the store, as for an announcement. An announcement of the same lifetime that still says ready changes nothing, whatever its sequence.

Left: if the daemon restarts while the store is out, the departure is not known again until the target's first response; it gets up to four requests.

--- a/mesh/exit/notice.go
+++ b/mesh/exit/notice.go
@@ -55,8 +55,18 @@
 	if changed {
 		e.setRate(t, n.rate, now)
 	}
+	left := n.leaving && !t.Leaving
+	if left {
+		e.recordDeparture(t.Instance, t.Incarnation, now)
+		t.startLeaving()
+		e.log.Info("target states that it leaves", zap.String("instance", t.Instance),
+			zap.Int("outstanding", t.admission.Load(now).Outstanding))
+	}
 	e.mu.Unlock()
-	if changed {
+	if left {
+		e.notifyDeparture()
+	}
+	if changed || left {
 		e.notifyChange()
 	}
 }
--- a/mesh/exit/notice_test.go
+++ b/mesh/exit/notice_test.go
@@ -10,7 +10,9 @@
 
 	"github.com/matryer/is"
 
+	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/mesh/exit"
+	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
 // statingTarget is a target whose responses carry header fields that a test sets.
@@ -107,3 +109,43 @@
 	get()
 	is.Equal(s.rate(), 0.0)
 }
+
+func TestTargetThatSaysItLeavesGetsNoFurtherRequest(t *testing.T) {
+	is := is.New(t)
+	s := newStatingTarget(t, 2)
+	departures := make(chan struct{}, 1)
+	s.exit.OnDeparture(func() { departures <- struct{}{} })
+	changes := make(chan []gossip.Target, 10)
+	s.exit.OnChange(func(targets []gossip.Target) { changes <- targets })
+	lifetime := s.announced
+	lifetime.Incarnation, lifetime.Sequence = 100, 5
+	is.NoErr(s.exit.Announce(lifetime))
+	s.state("X-Leaving", "1")
+	is.True(s.roundTrip(requestHead(http.MethodGet, "/", "")).GetAnswer() != nil) // passed on
+	is.Equal(receiveWithin(t, changes)[0].State, gossip.TargetLeaving)
+	receiveWithin(t, departures) // survives a restart of the daemon
+	is.Equal(s.exit.Departures()[0].Incarnation, uint64(100))
+	for _, sequence := range []uint64{4, 6} { // announcements that still say ready
+		lifetime.Sequence = sequence
+		_ = s.exit.Announce(lifetime)
+		refusal := s.roundTrip(requestHead(http.MethodGet, "/", "")).GetRefusal()
+		is.Equal(refusal.GetReason(), peerpb.RefusalReason_REFUSAL_REASON_LEAVING)
+	}
+	is.Equal(s.received.Load(), int64(1))
+	lifetime.Incarnation, lifetime.Sequence = 200, 1 // the next process
+	is.NoErr(s.exit.Announce(lifetime))
+	s.state("X-Other", "1")
+	is.True(s.roundTrip(requestHead(http.MethodGet, "/", "")).GetAnswer() != nil)
+}
+
+// receiveWithin receives from a channel, and fails the test after a second without a value.
+func receiveWithin[T any](t *testing.T, channel <-chan T) T {
+	t.Helper()
+	select {
+	case value := <-channel:
+		return value
+	case <-time.After(time.Second):
+		t.Fatal("nothing received")
+		panic("unreachable")
+	}
+}
