Count the slots that a rate leaves when a new version is to take all requests

What callers may see: a rollout completes on targets that name a small rate, the old ones stop, and most requests are refused.

Cause: whether the new version can carry all requests was judged by hosts alone.

Evidence: two rows of TestSettlesOnEnoughHosts; the one with 20 of 60 slots left completed before.

Change: the slots of the ready targets count too, as the membership tells them: fewer where a target names a rate. A test shows that the search passes over a host that reports its rated slots as taken.

--- a/coord/balance/search_test.go
+++ b/coord/balance/search_test.go
@@ -277,6 +277,27 @@
 	is.Equal(len(waits), 2)
 }
 
+func TestSearchPassesOverAHostAtTheRateThatItsTargetNames(t *testing.T) {
+	is := is.New(t)
+	target := gossip.Target{Service: "s", Version: "v", Slots: 12}
+	members := []gossip.Member{
+		{Record: gossip.Record{Host: "rated", Zone: "a", Targets: []gossip.Target{target}}},
+		{Record: gossip.Record{Host: "free", Zone: "a", Targets: []gossip.Target{target}}},
+	}
+	group := balance.NewIndex(balance.Locality{Zone: "a"}, members, nil).Group("s", "v")
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, endpoint := range group.Endpoints() {
+		report := balance.LoadReport{Outstanding: 7, Slots: 12}
+		if endpoint.Host == "rated" {
+			report = balance.LoadReport{Outstanding: 2, Slots: 2, Wait: 100 * time.Millisecond}
+		}
+		endpoint.Observe(report, time.Second)
+	}
+	for range 20 {
+		is.Equal(balance.NewSearch(group, time.Second).Next(random, time.Second, nil).Endpoint.Host, "free")
+	}
+}
+
 func TestSearchUsesEjectedHostsOnlyWithoutOthers(t *testing.T) {
 	is := is.New(t)
 	target := gossip.Target{Service: "s", Version: "v", Slots: 2}
--- a/coord/rollout/hosts.go
+++ b/coord/rollout/hosts.go
@@ -10,6 +10,9 @@
 // fields named Hosts of Level, State and SetShare are limits on a number of hosts instead.
 type Hosts struct {
 	From, To int
+	// FromSlots and ToSlots are the numbers of requests that their targets run at once, fewer where a
+	// target names a rate; 0 if unknown.
+	FromSlots, ToSlots int
 }
 
 // loadTolerance is the fraction by which the load of a host may exceed the regular load.
@@ -59,7 +62,9 @@
 const minHostRatio = 0.75
 
 // canTakeOver reports whether the new version's hosts can carry all requests.
-func (h Hosts) canTakeOver() bool { return float64(h.To) >= minHostRatio*float64(h.From) }
+func (h Hosts) canTakeOver() bool {
+	return float64(h.To) >= minHostRatio*float64(h.From) && float64(h.ToSlots) >= minHostRatio*float64(h.FromSlots)
+}
 
 // MaxHosts returns the maximum number of hosts of the new version that may receive requests under
 // a rollout in force: none before the first share, and math.MaxInt for all.
--- a/coord/rollout/rollout_test.go
+++ b/coord/rollout/rollout_test.go
@@ -155,6 +155,8 @@
 		{"one host fewer", Hosts{From: 5, To: 4}, 0, ticket.Completed, "excess of failures and slow answers below 1.0% over 500 calls"},
 		{"two hosts fewer", Hosts{From: 5, To: 3}, 0, ticket.RolledBack, "not completed by its deadline: 3 ready hosts of v2 can't carry the calls of 5"},
 		{"two hosts lost while settling", Hosts{From: 5, To: 5}, 2, ticket.RolledBack, "not completed by its deadline: 3 ready hosts of v2 can't carry the calls of 5"},
+		{"targets that name a small rate", Hosts{From: 5, To: 5, FromSlots: 60, ToSlots: 20}, 0, ticket.RolledBack, "not completed by its deadline: 5 ready hosts of v2 can't carry the calls of 5"},
+		{"targets of both versions that do", Hosts{From: 5, To: 5, FromSlots: 20, ToSlots: 20}, 0, ticket.Completed, "excess of failures and slow answers below 1.0% over 500 calls"},
 		{"old hosts lost too", Hosts{From: 3, To: 3}, 0, ticket.Completed, "excess of failures and slow answers below 1.0% over 500 calls"},
 	}
 	for _, c := range cases {
--- a/mesh/controller/evidence.go
+++ b/mesh/controller/evidence.go
@@ -111,14 +111,14 @@
 // current returns the evidence for a decision at now.
 func (e *evidence) current(now time.Time) rollout.Evidence {
 	members := e.controller.config.Members.Members()
+	var hosts rollout.Hosts
+	hosts.From, hosts.FromSlots = readyHosts(members, func(t gossip.Target) bool { return t.Service == e.rollout.Service && e.isOldVersion(t.Version) })
+	hosts.To, hosts.ToSlots = readyHosts(members, func(t gossip.Target) bool { return t.Service == e.rollout.Service && t.Version == e.rollout.To })
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return rollout.Evidence{
-		Verdict: e.detector.Verdict(),
-		Hosts: rollout.Hosts{
-			From: readyHosts(members, func(t gossip.Target) bool { return t.Service == e.rollout.Service && e.isOldVersion(t.Version) }),
-			To:   readyHosts(members, func(t gossip.Target) bool { return t.Service == e.rollout.Service && t.Version == e.rollout.To }),
-		},
+		Verdict:   e.detector.Verdict(),
+		Hosts:     hosts,
 		Rate:      e.meter.rate(now),
 		Halted:    e.haltedZones(),
 		Reporting: !e.reportedAt.IsZero() && now.Sub(e.reportedAt) < reportExpiry,
@@ -152,17 +152,24 @@
 	return version == e.rollout.From
 }
 
-// readyHosts counts the live hosts with a matching target that is ready.
-func readyHosts(members []gossip.Member, matches func(gossip.Target) bool) int {
-	hosts := 0
+// readyHosts counts the live hosts with a matching target that is ready, and the slots of these targets.
+func readyHosts(members []gossip.Member, matches func(gossip.Target) bool) (hosts, slots int) {
 	for _, m := range members {
-		if m.Status != gossip.Dead && !m.Leaving && slices.ContainsFunc(m.Targets, func(t gossip.Target) bool {
-			return t.State == gossip.TargetReady && matches(t)
-		}) {
+		if m.Status == gossip.Dead || m.Leaving {
+			continue
+		}
+		ready := false
+		for _, t := range m.Targets {
+			if t.State == gossip.TargetReady && matches(t) {
+				ready = true
+				slots += t.Slots
+			}
+		}
+		if ready {
 			hosts++
 		}
 	}
-	return hosts
+	return hosts, slots
 }
 
 // rateMeter counts the requests of a service to compute its request rate.
