Refuse announcements that other daemons could not decode

What callers may see: a host disappears for all other daemons, and news of other hosts with it.

Cause: a target's announcement was taken with any number of slots, any length of names and any port. Daemons refuse a datagram whole whose number of slots is above 1,048,576, so the record of that host, and every datagram that carried it as a rumour, was dropped by all others. Deep nesting and numbers beyond the type were refused already, by the decoder of the heartbeat.

Evidence: all six rows of TestOddAnnouncementNamesNoTargetAndKeepsTheOthers failed before.

Change: the bounds are those of the datagram, and an announcement beyond them names no target. The present one of the host stays.

--- a/coord/gossip/record.go
+++ b/coord/gossip/record.go
@@ -15,6 +15,9 @@
 // TargetState is the readiness of a target.
 type TargetState string
 
+// MaxSlots is the largest number of slots of a target that a message may carry.
+const MaxSlots = 1 << 20
+
 // The states of a target: not yet ready, ready for requests, and about to stop.
 const (
 	TargetCold    TargetState = "cold"
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,7 +21,15 @@
 // target, by its withdrawal, or by a later incarnation of another target at its address.
 var ErrStaleAnnouncement = errors.New("the announcement is superseded by a later one or by a withdrawal")
 
-var errIncomplete = errors.New("instance, service and version must be set and slots must be at least 1")
+var (
+	errIncomplete = errors.New("instance, service and version must be set")
+	errSlots      = fmt.Errorf("slots must be from 1 to %d", gossip.MaxSlots)
+	errNameLength = fmt.Errorf("service and version may have at most %d bytes", maxNameLength)
+)
+
+// maxNameLength bounds the names of a target's service and version, in bytes: every daemon is told of them
+// in a datagram.
+const maxNameLength = 256
 
 // Announce adds or renews a target. An instance that is announced with another address, service or
 // version replaces the previous one. Announce returns ErrStaleAnnouncement for an announcement
@@ -115,14 +124,25 @@
 }
 
 func (e *Exit) checkAnnouncement(a admin.Announcement) error {
-	if a.Instance == "" || a.Service == "" || a.Version == "" || a.Slots < 1 {
+	switch {
+	case a.Instance == "" || a.Service == "" || a.Version == "":
 		return errIncomplete
+	case a.Slots < 1 || a.Slots > gossip.MaxSlots:
+		return errSlots
+	case len(a.Service) > maxNameLength || len(a.Version) > maxNameLength:
+		return errNameLength
 	}
 	if e.settings.Target != "" && a.Address != e.settings.Target {
 		return fmt.Errorf("address %q is not the configured target address of this host", a.Address)
 	}
-	_, _, err := net.SplitHostPort(a.Address)
-	return err
+	_, port, err := net.SplitHostPort(a.Address)
+	if err != nil {
+		return err
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		return fmt.Errorf("port %q is not a number from 1 to 65535", port)
+	}
+	return nil
 }
 
 // sameTarget reports whether b renews a. Without an incarnation, a target that was leaving and is
--- a/mesh/exit/announce_test.go
+++ b/mesh/exit/announce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -111,3 +112,32 @@
 	is.Equal(e.VersionLoad("desk", "v1"), Load{Slots: 12})
 	is.Equal(e.Targets()[0].State, gossip.TargetCold)
 }
+
+func TestOddAnnouncementNamesNoTargetAndKeepsTheOthers(t *testing.T) {
+	valid := admin.Announcement{
+		Instance: "i1", Service: "desk", Version: "v1", Address: "127.0.0.1:9", Slots: 4, Incarnation: 100, Sequence: 1,
+	}
+	for name, change := range map[string]func(*admin.Announcement){
+		"too many slots":    func(a *admin.Announcement) { a.Slots = gossip.MaxSlots + 1 },
+		"long service":      func(a *admin.Announcement) { a.Service = strings.Repeat("s", 1<<14) },
+		"long version":      func(a *admin.Announcement) { a.Version = strings.Repeat("v", 1<<14) },
+		"port too large":    func(a *admin.Announcement) { a.Address = "127.0.0.1:99999" },
+		"port 0":            func(a *admin.Announcement) { a.Address = "127.0.0.1:0" },
+		"port not a number": func(a *admin.Announcement) { a.Address = "127.0.0.1:http" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := New(settings.Default().Exit, peer.Identity{Host: "h1", Zone: "a"}, zap.NewNop())
+			is.NoErr(e.Announce(valid))
+			odd := valid
+			odd.Sequence++
+			change(&odd)
+			is.True(e.Announce(odd) != nil)
+			odd.Instance = "i2"
+			is.True(e.Announce(odd) != nil)
+			targets := e.Targets()
+			is.Equal(len(targets), 1)
+			is.Equal(targets[0].Slots, 4)
+		})
+	}
+}
--- a/mesh/membership/decode.go
+++ b/mesh/membership/decode.go
@@ -11,10 +11,9 @@
 	"sassafrasnotch.example/mesh/membership/memberpb"
 )
 
-// maxSlots and maxTTL are the largest number of slots and the longest TTL accepted in a datagram.
+// maxTTL is the longest TTL accepted in a datagram.
 const (
-	maxSlots = 1 << 20
-	maxTTL   = 24 * time.Hour
+	maxTTL = 24 * time.Hour
 )
 
 // Decode returns the message in a datagram. A datagram with a string index outside its table,
@@ -145,7 +144,7 @@
 }
 
 func (d *decoder) target(t *memberpb.Target) gossip.Target {
-	d.require(t.GetSlots() <= maxSlots, "number of slots (at most 1048576)")
+	d.require(t.GetSlots() <= gossip.MaxSlots, "number of slots (at most 1048576)")
 	return gossip.Target{
 		Service: d.requiredString(t.GetService(), "service"),
 		Version: d.requiredString(t.GetVersion(), "version"),
