Skip host rows with an address or an incarnation out of range

What callers may see: a daemon that restarts is taken for dead by all others.

Cause: the row of a host was believed whatever its incarnation. Above the largest number there is none, so that the next start of the daemon wrapped to 0, which every other daemon takes for older than what it knows. An address with a port out of range became a seed.

Evidence: TestOddHostRowsAreSkipped failed before: the seeds held 127.0.0.1:99999. Rows that are nested 20,000 deep or hold 1e400 were skipped already.

Change: such a row is skipped with a log line, the others hold.

--- a/mesh/daemon/hosts.go
+++ b/mesh/daemon/hosts.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
+	"net"
+	"strconv"
 	"time"
 
 	"go.uber.org/fx"
@@ -197,6 +200,26 @@
 	departed    []exit.Departure // that this host's earlier start recorded
 }
 
+// maxIncarnation is the largest incarnation of a row that is believed: above it there has to be room for
+// those of later starts.
+const maxIncarnation = 1 << 63
+
+// decodeHostRow decodes the value of a host's row, which may come from another writer.
+func decodeHostRow(value []byte) (hostRow, error) {
+	var host hostRow
+	if err := json.Unmarshal(value, &host); err != nil {
+		return hostRow{}, err
+	}
+	if host.Incarnation > maxIncarnation {
+		return hostRow{}, fmt.Errorf("incarnation %d is above %d", host.Incarnation, uint64(maxIncarnation))
+	}
+	_, port, err := net.SplitHostPort(host.GossipAddress)
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	return host, err
+}
+
 // scan reads the rows of all hosts. Expired rows provide seeds too, because every row is old after
 // a long outage of the store. A row that can't be decoded is skipped.
 func (h *hostRows) scan(ctx context.Context, now time.Time) (scanResult, error) {
@@ -206,8 +229,8 @@
 	}
 	var result scanResult
 	for _, row := range rows {
-		var host hostRow
-		if err := json.Unmarshal(row.Value, &host); err != nil {
+		host, err := decodeHostRow(row.Value)
+		if err != nil {
 			h.logger.Warn("host row skipped: value is not valid", zap.String("key", row.Key), zap.Error(err))
 			continue
 		}
--- a/mesh/daemon/hosts_test.go
+++ b/mesh/daemon/hosts_test.go
@@ -111,3 +111,24 @@
 	is.Equal(result.seeds, []string{"127.0.0.1:9"})
 	is.Equal(result.incarnation, previous)
 }
+
+func TestOddHostRowsAreSkipped(t *testing.T) {
+	is := is.New(t)
+	backing := store.NewMemory()
+	put := func(host, value string) {
+		is.NoErr(backing.Txn(t.Context(), nil, []store.Write{{Key: hostPrefix + host, Value: []byte(value)}}))
+	}
+	put("host", `{"zone":"a","gossipAddress":"127.0.0.1:7","incarnation":18446744073709551615}`) // its own
+	put("deep", strings.Repeat("[", 20000))
+	put("large", `{"zone":"a","gossipAddress":"127.0.0.1:8","incarnation":1e400}`)
+	put("port", `{"zone":"a","gossipAddress":"127.0.0.1:99999","incarnation":5}`)
+	put("good", `{"zone":"a","gossipAddress":"127.0.0.1:9","incarnation":5}`)
+	identity := peer.Identity{Host: "host", Zone: "a", Incarnation: 7}
+	rows := newHostRows(identity, settings.Default(), backing, newExit(identity), zap.NewNop())
+	result, err := rows.scan(t.Context(), time.Now())
+	is.NoErr(err)
+	is.Equal(result.seeds, []string{"127.0.0.1:9"})
+	members := startMembership(t, identity)
+	is.NoErr(rows.exchange(t.Context(), members))
+	is.True(rows.incarnation(members.Members()) >= 7)
+}
