Open all slots of a target whose rate can't be read

What callers may see: a target that names a rate which is no number runs four requests at once for good.

Cause: a response with such a field did not count as the first response, which ends the bound on the slots of a target that may have named a rate. One that also said it leaves ended the last rate.

Evidence: TestTargetWhoseRateCannotBeReadGetsRequestsOnAllItsSlots failed before (4 slots, not 8).

Change: each response of the target counts; whether its rate is valid is kept apart.

--- /dev/null
+++ b/coord/admission/rate.go
@@ -0,0 +1,48 @@
+package admission
+
+import "time"
+
+// SetRate limits the requests to a rate per second that the target names. Rates below minRate count as
+// minRate. It returns the actions on queued requests.
+func (t *Target) SetRate(rate float64, now time.Time) []Action {
+	t.pacer.setRate(rate, now)
+	return t.Tick(now)
+}
+
+// ClearRate ends the limit of SetRate and returns the actions on queued requests.
+func (t *Target) ClearRate(now time.Time) []Action {
+	t.pacer = pacer{}
+	return t.Tick(now)
+}
+
+// CountRepeat counts a request that reaches the target a second time on the same slot.
+func (t *Target) CountRepeat(now time.Time) { t.pacer.take(now) }
+
+// NextRun returns the time until the next queued request may run by the rate. It reports false if none
+// is queued or a slot has to become free first.
+func (t *Target) NextRun(now time.Time) (time.Duration, bool) {
+	if len(t.queue) == 0 || t.outstanding >= t.openSlots(now) {
+		return 0, false
+	}
+	return t.pacer.delay(0, now), true
+}
+
+// RatedSlots returns the number of slots that the target can keep busy: all, or fewer if it names a
+// rate.
+func (t *Target) RatedSlots() int {
+	if t.pacer.rate == 0 || !t.service.initialized {
+		return t.config.Slots
+	}
+	return min(t.config.Slots, t.pacer.slots(t.service.value))
+}
+
+// mayRun reports whether a slot is free and the rate allows a request now.
+func (t *Target) mayRun(now time.Time) bool {
+	return t.outstanding < t.openSlots(now) && t.pacer.delay(0, now) == 0
+}
+
+// run counts a request that is sent to the target.
+func (t *Target) run(now time.Time) {
+	t.outstanding++
+	t.pacer.take(now)
+}
--- a/mesh/exit/notice.go
+++ b/mesh/exit/notice.go
@@ -9,32 +9,35 @@
 	"sassafrasnotch.example/coord/admission"
 )
 
-// targetNotice is what a target states of itself in its responses.
+// targetNotice is what a target states of itself in a response.
 type targetNotice struct {
 	// rate is the number of requests per second that the target takes, nil if it names none.
 	rate *float64
+	// rateValid is unset if the target names a rate that can't be parsed, which leaves the last one in
+	// force.
+	rateValid bool
 	// leaving means that the target takes no further requests.
 	leaving bool
 }
 
-// notice returns what the target of a response states of itself. ok is false if the response does not
-// tell, because it may be of another target or request, or the rate can't be parsed.
+// notice returns what the target of a response states of itself. ok is false if the response may be of
+// another target or to another request.
 func (c *callerRequest) notice(response *http.Response) (n targetNotice, ok bool) {
-	conventions := &c.exit.conventions
 	if c.idMismatch(response) || !c.identified(response) || response.StatusCode == http.StatusMisdirectedRequest {
 		return n, false
 	}
-	if conventions.Leaving != "" {
-		n.leaving = response.Header.Get(conventions.Leaving) == "1"
-	}
+	conventions := &c.exit.conventions
+	n.leaving = conventions.Leaving != "" && response.Header.Get(conventions.Leaving) == "1"
 	values := response.Header.Values(conventions.RateLimit)
+	n.rateValid = true
 	if conventions.RateLimit == "" || len(values) == 0 {
 		return n, true
 	}
 	rate, err := admission.ParseRate(values)
 	if err != nil {
 		c.exit.log.Warn("rate limit of a target ignored", zap.String("instance", c.target.Instance), zap.Error(err))
-		return n, n.leaving
+		n.rateValid = false
+		return n, true
 	}
 	n.rate = &rate
 	return n, true
@@ -51,7 +54,7 @@
 	if actions := t.admission.RecordResponse(now); len(actions) > 0 {
 		e.deliver(t, actions, now)
 	}
-	changed := !equalRates(n.rate, t.namedRate)
+	changed := n.rateValid && !equalRates(n.rate, t.namedRate)
 	if changed {
 		e.setRate(t, n.rate, now)
 	}
--- a/mesh/exit/notice_test.go
+++ b/mesh/exit/notice_test.go
@@ -110,6 +110,14 @@
 	is.Equal(s.rate(), 0.0)
 }
 
+func TestTargetWhoseRateCannotBeReadGetsRequestsOnAllItsSlots(t *testing.T) {
+	is := is.New(t)
+	s := newStatingTarget(t, 8)
+	s.state("X-Limit", "many")
+	is.True(s.roundTrip(requestHead(http.MethodGet, "/", "")).GetAnswer() != nil)
+	is.Equal(s.exit.VersionLoad("desk", "v1").Slots, 8)
+}
+
 func TestTargetThatSaysItLeavesGetsNoFurtherRequest(t *testing.T) {
 	is := is.New(t)
 	s := newStatingTarget(t, 2)
