Serve the rate limit of targets also while they name none

What operators saw: sassafras_target_rate_limit, listed in docs/METRICS.md, was missing while no target named a limit, and its name lacked the unit that the exporter adds.

Cause: the gauge was observed only for targets that name a rate.

--- a/mesh/daemon/metrics.go
+++ b/mesh/daemon/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -65,7 +66,7 @@
 	g.latestRevision = gauge("sassafras_revision_head", "Newest configuration revision known to exist")
 	g.storeReachable = gauge("sassafras_platform_reachable", "1 if the last operation at the platform succeeded, else 0")
 	g.members = gauge("sassafras_members", "Known daemons, by zone and status")
-	g.targetRate = floatGauge("sassafras_target_rate_limit", "{request}/s", "Requests per second that targets on this host take, where they name a limit")
+	g.targetRate = floatGauge("sassafras_target_rate_limit", "{request}/s", "Requests per second that targets on this host take; infinite while one names no limit")
 	g.targets = gauge("sassafras_targets", "Targets on this host, by service, version and state")
 	g.outstanding = gauge("sassafras_target_outstanding", "Requests in flight at targets on this host")
 	g.controlledRollouts = gauge("sassafras_moves_held", "Running rollouts that this host controls")
@@ -152,9 +153,11 @@
 		counts[key]++
 		outstanding[key] += int64(target.Outstanding)
 		queued[key] += int64(target.Queued)
+		rate := math.Inf(1)
 		if target.Rate != nil {
-			rates[key] += *target.Rate
+			rate = *target.Rate
 		}
+		rates[key] += rate
 	}
 	for key, count := range counts {
 		labels := []metric.ObserveOption{
@@ -165,8 +168,6 @@
 		o.ObserveInt64(g.targets, count, labels...)
 		o.ObserveInt64(g.outstanding, outstanding[key], labels...)
 		o.ObserveInt64(g.queued, queued[key], labels...)
-		if rate, limited := rates[key]; limited {
-			o.ObserveFloat64(g.targetRate, rate, labels...)
-		}
+		o.ObserveFloat64(g.targetRate, rates[key], labels...)
 	}
 }
