--- a/mesh/source/follower.go
+++ b/mesh/source/follower.go
@@ -41,6 +41,8 @@
 	restart bool
 	// initialized is set once all rows were read.
 	initialized bool
+	// responded is the time of the last response, zero before the first one.
+	responded time.Time
 	// overdue is set if a wait for changes brought no response in time. The next one requests a response
 	// at once, since the connection may have stopped delivering.
 	overdue bool
@@ -58,18 +60,19 @@
 			f.logger.Info("reading all rows without waiting for the change feed", zap.String("rows", f.name), zap.Uint64("after", f.after), zap.Error(err))
 			f.restart = true
 		case errors.Is(err, errOverdue):
-			f.logger.Info("no response from the change feed; asking again", zap.String("rows", f.name), zap.Error(err))
+			f.logger.Info("no response from the change feed; asking again", zap.String("rows", f.name), zap.Duration("silence", f.silence()), zap.Error(err))
 			f.overdue = true
 		case errors.Is(err, store.ErrTrimmed):
 			f.logger.Info("change history of the store is trimmed; reading all rows", zap.String("rows", f.name), zap.Uint64("after", f.after))
 			f.restart = true
 		case err != nil:
 			f.reportReachable(false)
-			f.logger.Info("rows not read", zap.String("rows", f.name), zap.Error(err))
+			f.logger.Info("rows not read", zap.String("rows", f.name), zap.Duration("silence", f.silence()), zap.Error(err))
 			sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxRetryBackoff)
 		default:
 			backoff = minRetryBackoff
+			f.responded = time.Now()
 			f.reportReachable(true)
 			pause := f.pause
 			if !f.initialized {
@@ -83,6 +86,14 @@
 	}
 }
 
+// silence returns the time since the last response, or 0 before the first one.
+func (f *follower[C]) silence() time.Duration {
+	if f.responded.IsZero() {
+		return 0
+	}
+	return time.Since(f.responded)
+}
+
 // exchange reads all rows or waits for changes to them.
 func (f *follower[C]) exchange(ctx context.Context) (C, error) {
 	if f.restart || !f.initialized {
