Follow a zone reader by the age of its copy, not by whether its last exchange failed

Cause: a zone reader told its followers that it was current until an exchange with the store had failed. With a store that falls silent that took the 0.5 of the bound in which a response is overdue and then the 2 s of the client, 3.25 s in all. Zones whose readers were all cut off got the version from gossip alone.

Each copy of the rows has an age now, counted from the moment at which the response that confirmed it began, and passed on with the rows (coord/freshness). A copy older than 0.5 of the bound is not followed, at 0.75 the store is read. It works whatever the reason for the silence is, over any number of hosts, and two hosts that follow each other grow old together. Before its copy expires, a reader without the store asks the other readers, a reader of each other zone and two more hosts of its own zone. Reads of all rows are given up after 0.25 of the bound, then after twice that; timeouts hold until a response begins.

The feed is asked about each 0.35 of the bound, which was each 0.65.

--- a/mesh/daemon/metrics.go
+++ b/mesh/daemon/metrics.go
@@ -22,7 +22,8 @@
 	entry      *entry.Entry
 	log        *telemetry.Log
 
-	configurationAge, remainingRetries, targetRate  metric.Float64ObservableGauge
+	configurationAge, confirmedAge                  metric.Float64ObservableGauge
+	remainingRetries, targetRate                    metric.Float64ObservableGauge
 	queued                                          metric.Int64ObservableGauge
 	storeFailures                                   metric.Int64ObservableCounter
 	appliedRevision, latestRevision, storeReachable metric.Int64ObservableGauge
@@ -59,6 +60,7 @@
 		return instrument
 	}
 	g.configurationAge = floatGauge("sassafras_configuration_age", "s", "Time since the configuration in force was applied")
+	g.confirmedAge = floatGauge("sassafras_configuration_confirmed_age", "s", "Time since the store confirmed the configuration held here, to this daemon or to one that it heard from")
 	g.remainingRetries = floatGauge("sassafras_retries_left", "{retry}", "Retries that remain in the budget of a service")
 	g.queued = gauge("sassafras_target_queued", "Requests that wait for a slot of targets on this host")
 	g.storeFailures = counter("sassafras_platform_failures", "{request}", "Failed operations at the platform, by kind")
@@ -77,7 +79,7 @@
 	if createErr != nil {
 		return createErr
 	}
-	_, err := meter.RegisterCallback(g.observe, g.configurationAge, g.remainingRetries, g.queued, g.storeFailures, g.appliedRevision, g.latestRevision, g.storeReachable, g.members, g.targets, g.targetRate,
+	_, err := meter.RegisterCallback(g.observe, g.configurationAge, g.confirmedAge, g.remainingRetries, g.queued, g.storeFailures, g.appliedRevision, g.latestRevision, g.storeReachable, g.members, g.targets, g.targetRate,
 		g.outstanding, g.controlledRollouts, g.callerConnections, g.controlBytes, g.storeRequests, g.droppedLines)
 	return err
 }
@@ -103,6 +105,7 @@
 	if !status.AppliedAt.IsZero() {
 		o.ObserveFloat64(g.configurationAge, time.Since(status.AppliedAt).Seconds())
 	}
+	o.ObserveFloat64(g.confirmedAge, g.provider.confirmedAge())
 	for service, remaining := range g.entry.RemainingRetries() {
 		o.ObserveFloat64(g.remainingRetries, remaining, label(telemetry.FieldService, service))
 	}
--- a/mesh/daemon/status.go
+++ b/mesh/daemon/status.go
@@ -1,12 +1,15 @@
 package daemon
 
 import (
+	"math"
 	"net/http"
+	"time"
 
 	"github.com/gin-gonic/gin"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/freshness"
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/ticket"
@@ -103,6 +106,19 @@
 	return status
 }
 
+// confirmedAge returns the time since the store confirmed the configuration held here, in seconds. It is
+// infinite if the store never did, or if the configuration comes from tickets.
+func (p *statusProvider) confirmedAge() float64 {
+	copied, ok := p.configuration.(interface{ Age() time.Duration })
+	if !ok {
+		return math.Inf(1)
+	}
+	if age := copied.Age(); age != freshness.Never {
+		return age.Seconds()
+	}
+	return math.Inf(1)
+}
+
 // Report implements adminserver.StatusProvider.
 func (p *statusProvider) Report() admin.Report {
 	counts := p.recorder.Report()
--- a/mesh/readers/readers.go
+++ b/mesh/readers/readers.go
@@ -5,6 +5,7 @@
 package readers
 
 import (
+	"maps"
 	"slices"
 
 	"sassafrasnotch.example/coord/gossip"
@@ -19,6 +20,9 @@
 	// per second of 100 bytes each, the followers of one zone reader stay below the 5 KB/s that a
 	// host may use for control traffic.
 	maxFollowersPerReader = 16
+	// fallbackHosts is the number of hosts of its own zone, besides the zone readers, that a zone reader
+	// without the store asks.
+	fallbackHosts = 2
 )
 
 // Count returns the number of zone readers of a zone with the given number of hosts, at least
@@ -35,7 +39,7 @@
 	hosts := []string{self}
 	for i := range members {
 		member := &members[i]
-		if member.Zone == zone && member.Host != self && member.Status == gossip.Alive && !member.Leaving {
+		if member.Zone == zone && member.Host != self && isAvailable(member) {
 			hosts = append(hosts, member.Host)
 		}
 	}
@@ -47,6 +51,37 @@
 	return slices.Contains(chosen(Rank(self, zone, members)), self)
 }
 
+// HasFollowers reports whether self is a zone reader of its zone and other hosts follow it.
+func HasFollowers(self, zone string, members []gossip.Member) bool {
+	ranked := Rank(self, zone, members)
+	readers := chosen(ranked)
+	return len(ranked) > len(readers) && slices.Contains(readers, self)
+}
+
+// ChooseFallback returns the hosts that a zone reader asks if it reaches the store neither itself nor
+// through the others of its zone: a zone reader of each other zone, and the hosts of its own zone that
+// are next in rank, which read the store while they have no current zone reader. The order and the
+// choice of the remote ones depend on self, so that the load is spread.
+func ChooseFallback(self, zone string, members []gossip.Member) []string {
+	zones := make(map[string][]string)
+	for i := range members {
+		if member := &members[i]; member.Zone != zone && isAvailable(member) {
+			zones[member.Zone] = append(zones[member.Zone], member.Host)
+		}
+	}
+	var remote []string
+	for _, name := range rendezvous.Rank("remote/"+self, slices.Collect(maps.Keys(zones))) {
+		readers := chosen(rendezvous.Rank("reader/"+name, zones[name]))
+		remote = append(remote, rendezvous.Top("remote/"+self, readers, 1)...)
+	}
+	ranked := Rank(self, zone, members)
+	next := ranked[len(chosen(ranked)):]
+	return append(remote, next[:min(fallbackHosts, len(next))]...)
+}
+
+// isAvailable reports whether a member is alive and not leaving.
+func isAvailable(member *gossip.Member) bool { return member.Status == gossip.Alive && !member.Leaving }
+
 // chosen returns the zone readers among the ranked hosts of a zone.
 func chosen(ranked []string) []string { return ranked[:min(Count(len(ranked)), len(ranked))] }
 
--- a/mesh/source/follower.go
+++ b/mesh/source/follower.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/freshness"
 	"sassafrasnotch.example/coord/store"
 )
 
@@ -21,38 +22,37 @@
 	apply   func(C)
 	// idle reports whether there is nothing to follow; nil means never.
 	idle func() bool
-	// reportReachable is called with true after a successful exchange with the store and with false
-	// after a failed one.
-	reportReachable func(reachable bool)
+	// confirm is called after a successful exchange with a time at which the store had no changes beyond
+	// those received.
+	confirm func(at time.Time)
+	// reportOverdue is called when a response of the change feed is overdue, reportFailure after a
+	// failed exchange.
+	reportOverdue, reportFailure func()
 	// reread ends a wait for changes and makes the next exchange a read of all rows; it may be nil.
 	reread <-chan struct{}
-	// wait is the time for which the store may hold back a response without changes, replyTime the time
-	// that the response may take in addition.
-	wait, replyTime time.Duration
-	// pause is the delay after each successful exchange, so that changes in quick succession share a
-	// read.
-	pause time.Duration
-	// firstPause replaces pause after the first exchange, if it is longer.
-	firstPause time.Duration
+	bounds freshness.Bounds
+	// pause waits after each successful exchange, so that changes in quick succession share a read.
+	// first is set after the first exchange.
+	pause func(ctx context.Context, first bool)
 
+	// copy tells how old the rows read are.
+	copy freshness.Copy
 	// after is the version of the store from which to continue.
 	after uint64
 	// restart makes the next exchange a read of all rows.
 	restart bool
 	// initialized is set once all rows were read.
 	initialized bool
-	// responded is the time of the last response, zero before the first one.
-	responded time.Time
-	// overdue is set if a wait for changes brought no response in time. The next one requests a response
-	// at once, since the connection may have stopped delivering.
-	overdue bool
+	// failures counts the exchanges without a response since the last one with a response. After the
+	// first, the next response is requested at once, since the connection may have stopped delivering.
+	failures int
 }
 
 // run follows until the context ends or the follower is idle.
 func (f *follower[C]) run(ctx context.Context) {
 	backoff := minRetryBackoff
 	for ctx.Err() == nil && (f.idle == nil || !f.idle() || f.restart) {
-		changes, err := f.exchange(ctx)
+		changes, asOf, err := f.exchange(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -61,57 +61,61 @@
 			f.restart = true
 		case errors.Is(err, errOverdue):
 			f.logger.Info("no response from the change feed; asking again", zap.String("rows", f.name), zap.Duration("silence", f.silence()), zap.Error(err))
-			f.overdue = true
+			f.failures++
+			f.reportOverdue()
 		case errors.Is(err, store.ErrTrimmed):
 			f.logger.Info("change history of the store is trimmed; reading all rows", zap.String("rows", f.name), zap.Uint64("after", f.after))
 			f.restart = true
 		case err != nil:
-			f.reportReachable(false)
+			f.failures++
+			f.reportFailure()
 			f.logger.Info("rows not read", zap.String("rows", f.name), zap.Duration("silence", f.silence()), zap.Error(err))
 			sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, maxRetryBackoff)
 		default:
 			backoff = minRetryBackoff
-			f.responded = time.Now()
-			f.reportReachable(true)
-			pause := f.pause
-			if !f.initialized {
-				pause = max(pause, f.firstPause)
-			}
-			f.initialized, f.restart, f.overdue = true, false, false
+			first := !f.initialized
+			f.initialized, f.restart, f.failures = true, false, 0
 			f.after = f.through(changes)
 			f.apply(changes)
-			sleep(ctx, pause)
+			f.copy.Confirm(asOf)
+			f.confirm(asOf)
+			f.pause(ctx, first)
 		}
 	}
 }
 
 // silence returns the time since the last response, or 0 before the first one.
 func (f *follower[C]) silence() time.Duration {
-	if f.responded.IsZero() {
-		return 0
+	if age := f.copy.Age(time.Now()); age != freshness.Never {
+		return age
 	}
-	return time.Since(f.responded)
+	return 0
 }
 
-// exchange reads all rows or waits for changes to them.
-func (f *follower[C]) exchange(ctx context.Context) (C, error) {
+// exchange reads all rows or waits for changes to them. asOf is a time at which the store had no
+// further changes.
+func (f *follower[C]) exchange(ctx context.Context) (changes C, asOf time.Time, err error) {
 	if f.restart || !f.initialized {
-		return f.read(ctx)
+		asOf = time.Now() // the rows are read in several requests
+		ctx, _, cancel := withResponseTimeout(ctx, f.bounds.Rows(f.failures))
+		defer cancel(nil)
+		changes, err = f.read(ctx)
+		return changes, asOf, err
 	}
 	return f.awaitChanges(ctx)
 }
 
 // awaitChanges waits for changes. The error is errReread if a signal on reread ended the wait, and
-// errOverdue if the response did not arrive in time.
-func (f *follower[C]) awaitChanges(ctx context.Context) (C, error) {
-	if f.overdue {
-		return f.await(ctx, f.after, 0)
-	}
-	timeoutCtx, stop := context.WithTimeoutCause(ctx, f.wait+f.replyTime, errOverdue)
-	defer stop()
-	waitCtx, cancel := context.WithCancelCause(timeoutCtx)
+// errOverdue if no response began in time, unless other exchanges have failed before.
+func (f *follower[C]) awaitChanges(ctx context.Context) (changes C, asOf time.Time, err error) {
+	wait, timeout := f.bounds.Feed(f.copy.Age(time.Now()), f.failures)
+	waitCtx, response, cancel := withResponseTimeout(ctx, timeout)
 	defer cancel(nil)
+	if f.failures > 0 {
+		changes, err = f.await(waitCtx, f.after, wait)
+		return changes, response.beganAt(), err
+	}
 	go func() {
 		select {
 		case <-f.reread:
@@ -119,19 +123,13 @@
 		case <-waitCtx.Done():
 		}
 	}()
-	changes, err := f.await(waitCtx, f.after, f.wait)
+	changes, err = f.await(waitCtx, f.after, wait)
 	if cause := context.Cause(waitCtx); err != nil && (errors.Is(cause, errReread) || errors.Is(cause, errOverdue)) {
 		err = cause
 	}
-	return changes, err
+	return changes, response.beganAt(), err
 }
 
-// Causes that end a wait for changes.
-var (
-	errReread  = errors.New("another daemon has a newer revision")
-	errOverdue = errors.New("no response in time")
-)
-
 // sleep returns after the wait or when the context ends.
 func sleep(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
--- a/mesh/source/gossip.go
+++ b/mesh/source/gossip.go
@@ -54,7 +54,7 @@
 	if s.hasApplied(revision) || s.stopped.Err() != nil {
 		return
 	}
-	if _, err := s.pull(s.stopped, host, 0); err != nil {
+	if _, err := s.pullRows(s.stopped, host, 0, s.bounds.ReplyTime()); err != nil {
 		s.logger.Info("newer revision not pulled from peer", zap.String("peer", host), zap.Uint64("revision", revision), zap.Error(err))
 	}
 	if !s.hasApplied(revision) {
--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -14,7 +14,9 @@
 
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/freshness"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/mesh/readers"
 )
 
 const (
@@ -32,14 +34,10 @@
 	Settle time.Duration
 }
 
-// Fractions of Timing.ApplyWithin. A connection to the store that stops delivering is detected within
-// their sum and replyFraction, and the remaining time is for a request on another connection.
-const (
-	// changePauseFraction passes between a change and the next request for changes.
-	changePauseFraction = 0.3
-	// storeWaitFraction is the time for which the store may hold back a response without changes.
-	storeWaitFraction = 0.35
-)
+// changePauseFraction is the fraction of Timing.ApplyWithin that passes between a response of the store
+// and the next request for changes, so that changes in quick succession share one. The copies of the
+// zone's followers stay current meanwhile.
+const changePauseFraction = 0.25
 
 // startPauseFraction is the fraction of Timing.ApplyWithin that passes between the first read of a
 // starting daemon and its first request for changes. In that time it mostly learns from the
@@ -57,6 +55,9 @@
 	logger   *zap.Logger
 
 	timing Timing
+	bounds freshness.Bounds
+	// copy tells how old the rows held here are, over all hosts that they came through.
+	copy freshness.Copy
 
 	mu            sync.Mutex
 	state         *rowState     // guarded by mu
@@ -68,7 +69,7 @@
 
 	// storeReachable is set if the last read of the store succeeded.
 	storeReachable atomic.Bool
-	// followsStore is set if, in addition, this daemon is following the store.
+	// followsStore is set if, in addition, this daemon is following the store and no response is overdue.
 	followsStore atomic.Bool
 	// reader is the zone reader that is followed, nil while the store is.
 	reader atomic.Pointer[string]
@@ -76,6 +77,8 @@
 	// reread makes the goroutine that follows the store read all rows.
 	reread         chan struct{}
 	lastGossipRead time.Time // guarded by mu
+	// findReader makes the goroutine that follows zone readers look for one.
+	findReader chan struct{}
 	// resumeStore resumes the goroutine that follows the store, resumeRollouts the one that follows
 	// the rows of rollouts while a rollout is running.
 	resumeStore    chan struct{}
@@ -103,6 +106,8 @@
 		state:          newRowState(timing.Settle),
 		changed:        make(chan struct{}),
 		timing:         timing,
+		bounds:         freshness.Bounds{Apply: timing.ApplyWithin},
+		findReader:     make(chan struct{}, 1),
 		reread:         make(chan struct{}, 1),
 		resumeStore:    make(chan struct{}, 1),
 		resumeRollouts: make(chan struct{}, 1),
@@ -138,6 +143,13 @@
 // zone reader that it follows.
 func (s *Source) StoreReachable() bool { return s.followsReader() || s.storeReachable.Load() }
 
+// Age returns the time since the store last confirmed what is held here, to this daemon or to one that
+// it heard from, or freshness.Never.
+func (s *Source) Age() time.Duration { return s.copy.Age(time.Now()) }
+
+// isCurrent reports whether other daemons may take what is held here for the present rows of the store.
+func (s *Source) isCurrent() bool { return s.Age() <= s.bounds.CurrentLimit() }
+
 // LastRejection describes the last row that could not be applied, or returns "" if there is none.
 func (s *Source) LastRejection() string {
 	if text := s.lastRejection.Load(); text != nil {
@@ -180,19 +192,19 @@
 // followOperator keeps the rows of operators current while no zone reader is followed.
 func (s *Source) followOperator(ctx context.Context) {
 	f := follower[OperatorChanges]{
-		name:            "operator rows",
-		logger:          s.logger,
-		read:            s.readAll,
-		await:           s.operator.Await,
-		through:         func(c OperatorChanges) uint64 { return c.Through },
-		apply:           s.applyOperator,
-		idle:            s.idle,
-		reportReachable: s.recordReachable,
-		reread:          s.reread,
-		wait:            s.applyFraction(storeWaitFraction),
-		replyTime:       s.applyFraction(replyFraction),
-		pause:           s.applyFraction(changePauseFraction),
-		firstPause:      s.applyFraction(startPauseFraction),
+		name:          "operator rows",
+		logger:        s.logger,
+		read:          s.readAll,
+		await:         s.operator.Await,
+		through:       func(c OperatorChanges) uint64 { return c.Through },
+		apply:         s.applyOperator,
+		idle:          s.idle,
+		confirm:       s.recordResponse,
+		reportOverdue: s.recordOverdue,
+		reportFailure: s.recordFailure,
+		reread:        s.reread,
+		bounds:        s.bounds,
+		pause:         s.pauseAfterChange,
 	}
 	if s.startFromPeer(ctx) {
 		s.goroutines.Go(func() { s.awaitReader(ctx) })
@@ -244,16 +256,18 @@
 // sends no requests to the store.
 func (s *Source) followRollouts(ctx context.Context) {
 	f := follower[RolloutChanges]{
-		name:            "rollout rows",
-		logger:          s.logger,
-		read:            s.rollouts.ReadRollouts,
-		await:           s.rollouts.AwaitRollouts,
-		through:         func(c RolloutChanges) uint64 { return c.Through },
-		apply:           s.applyRollouts,
-		idle:            func() bool { return s.idle() || !s.rolloutRunning() },
-		reportReachable: func(bool) {},
-		wait:            s.applyFraction(storeWaitFraction),
-		replyTime:       s.applyFraction(replyFraction),
+		name:          "rollout rows",
+		logger:        s.logger,
+		read:          s.rollouts.ReadRollouts,
+		await:         s.rollouts.AwaitRollouts,
+		through:       func(c RolloutChanges) uint64 { return c.Through },
+		apply:         s.applyRollouts,
+		idle:          func() bool { return s.idle() || !s.rolloutRunning() },
+		confirm:       func(time.Time) {},
+		reportOverdue: func() {},
+		reportFailure: func() {},
+		bounds:        s.bounds,
+		pause:         func(context.Context, bool) {},
 	}
 	for {
 		select {
@@ -266,17 +280,41 @@
 	}
 }
 
-// recordReachable records whether the last exchange with the store succeeded, and logs changes.
-func (s *Source) recordReachable(reachable bool) {
-	s.followsStore.Store(reachable)
-	if s.storeReachable.Swap(reachable) == reachable {
-		return
-	}
-	if reachable {
+// recordResponse records that the store confirmed the rows held here, as of a time.
+func (s *Source) recordResponse(asOf time.Time) {
+	s.copy.Confirm(asOf)
+	s.followsStore.Store(true)
+	if !s.storeReachable.Swap(true) {
 		s.logger.Info("store available")
+	}
+}
+
+// recordOverdue records that a response of the store is overdue. A zone reader then asks others before
+// its own copy expires.
+func (s *Source) recordOverdue() {
+	s.followsStore.Store(false)
+	signal(s.findReader)
+}
+
+// recordFailure records that the last exchange with the store failed.
+func (s *Source) recordFailure() {
+	s.recordOverdue()
+	if s.storeReachable.Swap(false) {
+		s.logger.Warn("store unavailable")
+	}
+}
+
+// pauseAfterChange waits until the next request for changes. After its first read, a starting daemon
+// waits longer if it doesn't read the store for others.
+func (s *Source) pauseAfterChange(ctx context.Context, first bool) {
+	if !first {
+		sleep(ctx, s.applyFraction(changePauseFraction)-s.Age())
 		return
 	}
-	s.logger.Warn("store unavailable")
+	sleep(ctx, s.bounds.OverdueLimit()-s.Age())
+	if !readers.HasFollowers(s.self.Host, s.self.Zone, s.members.Members()) {
+		sleep(ctx, s.applyFraction(startPauseFraction)-s.Age())
+	}
 }
 
 // rolloutRunning reports whether the rollout of any order has no final verdict yet.
--- a/mesh/source/start.go
+++ b/mesh/source/start.go
@@ -29,9 +29,7 @@
 	if host == "" {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, startPullTimeout)
-	defer cancel()
-	reply, err := s.pullRows(ctx, host, 0)
+	reply, err := s.pullRows(ctx, host, 0, startPullTimeout)
 	if err != nil || !reply.GetMaintained() || s.Snapshot() == nil {
 		s.logger.Info("configuration not taken from another daemon", zap.String("peer", host), zap.Error(err))
 		return false
@@ -59,11 +57,11 @@
 	return ""
 }
 
-// awaitReader waits until a zone reader is followed, for as long as a daemon that has read the store
-// waits before its first request for changes. After that, and if this host is a zone reader itself,
-// the daemon follows the store.
+// awaitReader waits until a zone reader is followed, until the rows taken from another daemon are as old
+// as those of a daemon that has read the store at its first request for changes. After that, and if
+// this host is a zone reader itself, the daemon follows the store.
 func (s *Source) awaitReader(ctx context.Context) {
-	sleep(ctx, s.applyFraction(startPauseFraction))
+	sleep(ctx, s.applyFraction(startPauseFraction)-s.Age())
 	if ctx.Err() == nil && !s.idle() {
 		signal(s.resumeStore)
 	}
--- a/mesh/source/zone_reader.go
+++ b/mesh/source/zone_reader.go
@@ -3,50 +3,43 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"sassafrasnotch.example/coord/freshness"
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 	"sassafrasnotch.example/mesh/readers"
 	"sassafrasnotch.example/mesh/steperr"
 )
 
-// Fractions of Timing.ApplyWithin. A zone reader that stops responding is detected after
-// longPollFraction plus replyFraction, another one is tried within replyFraction, and the remaining
-// time is for a read of the store.
+// fetchDelayFraction is the fraction of Timing.ApplyWithin that the followed zone reader has to send a
+// revision that gossip reported, before the daemon pulls it from the host that reported it. It covers
+// the pause that the zone reader itself may make after a change.
+const fetchDelayFraction = changePauseFraction + 0.05
+
 const (
-	// longPollFraction is the time for which a zone reader may hold back a reply without newer rows.
-	longPollFraction = 0.2
-	// replyFraction is the time that a reply may take in addition.
-	replyFraction = 0.15
-	// fetchDelayFraction is the time that the followed zone reader has to send a revision that gossip
-	// reported, before the daemon pulls it from the host that reported it. It equals the pause that
-	// the zone reader itself may make after a change.
-	fetchDelayFraction = changePauseFraction
 	// maxReplyWait bounds the time for which a reply is held back, whatever the query requests.
 	maxReplyWait = 5 * time.Second
-)
-
-const (
 	// pullInterval is the delay between two pulls from a zone reader, so that changes in quick
 	// succession share one.
 	pullInterval = 50 * time.Millisecond
 	// readerRetryInterval is the delay between two searches for a zone reader while there is none to
 	// follow, or this host is one.
 	readerRetryInterval = 500 * time.Millisecond
-	// failedReaderTimeout is the time for which a zone reader that failed is not tried again. It is
-	// the time that the membership takes to suspect a host that is gone.
+	// failedReaderTimeout is the time for which a zone reader that did not reply is not tried again. It
+	// is the time that the membership takes to suspect a host that is gone.
 	failedReaderTimeout = 3 * time.Second
 )
 
 var (
 	// errUnexpectedReply means that a reply to a query of rows is of another kind.
 	errUnexpectedReply = errors.New("source: reply carries no rows message")
-	// errNotCurrent means that a zone reader replied but does not reach the store itself.
-	errNotCurrent = errors.New("source: zone reader does not reach the store")
+	// errNotCurrent means that a zone reader replied but has not heard of the store lately.
+	errNotCurrent = errors.New("source: zone reader is not current")
 )
 
 // Peers sends control messages to other daemons and returns their replies.
@@ -83,21 +76,39 @@
 			continue
 		}
 		s.switchToStore()
-		sleep(ctx, readerRetryInterval)
+		s.awaitSearch(ctx)
+	}
+}
+
+// awaitSearch waits until it is time to look for a zone reader again.
+func (s *Source) awaitSearch(ctx context.Context) {
+	timer := time.NewTimer(readerRetryInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-s.findReader:
 	}
 }
 
 // pullFromReaders pulls rows from the zone readers in turn until one reports that it is current, and
 // reports whether one did. It skips a reader until its time in retryAt.
 func (s *Source) pullFromReaders(ctx context.Context, retryAt map[string]time.Time) bool {
-	wait := s.applyFraction(longPollFraction)
-	for _, reader := range readers.Choose(s.self.Host, s.self.Zone, s.members.Members(), s.followsStore.Load()) {
+	members := s.members.Members()
+	candidates := readers.Choose(s.self.Host, s.self.Zone, members, s.followsStore.Load())
+	relays := readers.IsReader(s.self.Host, s.self.Zone, members)
+	if relays && !s.followsStore.Load() {
+		candidates = append(candidates, readers.ChooseFallback(s.self.Host, s.self.Zone, members)...)
+	}
+	for _, reader := range candidates {
 		if time.Now().Before(retryAt[reader]) {
 			continue
 		}
-		current, err := s.pull(ctx, reader, wait)
-		if err == nil && !current {
-			err = errNotCurrent
+		wait, timeout := s.bounds.Poll(s.Age(), relays)
+		reply, err := s.pullRows(ctx, reader, wait, timeout)
+		retryDelay := failedReaderTimeout
+		if err == nil && (!reply.GetCurrent() || replyAge(reply) > s.bounds.FollowLimit(relays)) {
+			err, retryDelay = errNotCurrent, readerRetryInterval
 		}
 		if err == nil {
 			delete(retryAt, reader)
@@ -108,8 +119,7 @@
 			return true // the source is stopping; nothing is followed any more
 		}
 		s.logger.Info("zone reader not followed", zap.String("peer", reader), zap.Error(err))
-		retryAt[reader] = time.Now().Add(failedReaderTimeout)
-		wait = 0 // the failed attempt has used up time
+		retryAt[reader] = time.Now().Add(retryDelay)
 	}
 	return false
 }
@@ -139,21 +149,15 @@
 	return s.followsReader() && !readers.IsReader(s.self.Host, s.self.Zone, s.members.Members())
 }
 
-// pull requests the rows that are newer than those held here from a host, and puts them in force.
-// The host may hold back its reply for the wait. current reports whether the host follows the store
-// and its last exchange with it succeeded.
-func (s *Source) pull(ctx context.Context, host string, wait time.Duration) (current bool, err error) {
-	reply, err := s.pullRows(ctx, host, wait)
-	return reply.GetCurrent(), err
-}
-
-// pullRows is pull with the whole reply.
-func (s *Source) pullRows(ctx context.Context, host string, wait time.Duration) (*peerpb.RowsReply, error) {
+// pullRows requests the rows that are newer than those held here from a host, and puts them in force.
+// The host may hold back its reply for the wait while it has no newer rows; the request is given up
+// after the timeout.
+func (s *Source) pullRows(ctx context.Context, host string, wait, timeout time.Duration) (*peerpb.RowsReply, error) {
 	s.mu.Lock()
 	query := s.state.heldVersions()
 	s.mu.Unlock()
 	query.WaitMillis = uint32(wait.Milliseconds())
-	ctx, cancel := context.WithTimeout(ctx, wait+s.applyFraction(replyFraction))
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := s.peers.Control(ctx, host, s.address(host), &peerpb.ControlRequest{
 		From: s.self.Host,
@@ -171,9 +175,26 @@
 		return nil, steperr.Wrap(err, "decode rows", host)
 	}
 	s.applyPeerRows(rows, host)
+	s.confirmFromPeer(rowsReply)
 	return rowsReply, nil
 }
 
+// confirmFromPeer records how old the rows of another daemon are, which are held here now.
+func (s *Source) confirmFromPeer(reply *peerpb.RowsReply) {
+	if age := replyAge(reply); age != freshness.Never {
+		s.copy.Confirm(time.Now().Add(-age))
+	}
+}
+
+// replyAge returns the age of the rows of another daemon. The reply of an older release states none; its
+// rows count as new if it says that they are current.
+func replyAge(reply *peerpb.RowsReply) time.Duration {
+	if reply.AgeMillis == nil && !reply.GetCurrent() {
+		return freshness.Never
+	}
+	return time.Duration(reply.GetAgeMillis()) * time.Millisecond
+}
+
 // address returns the peer address of a host, or "" if the host is unknown.
 func (s *Source) address(host string) string {
 	for _, member := range s.members.Members() {
@@ -197,36 +218,46 @@
 	s.publish(host)
 }
 
-// ServeRows replies to a daemon that requests newer rows, as soon as there are any or the wait of
-// the query is over. It replies at once if this daemon doesn't follow the store. It returns an error
-// if the context ends first or the rows can't be encoded.
+// ServeRows replies to a daemon that requests newer rows, as soon as there are any, the rows held here
+// are not current any more or the wait of the query is over. It returns an error if the context ends
+// first or the rows can't be encoded.
 func (s *Source) ServeRows(ctx context.Context, query *peerpb.RowsQuery) (*peerpb.RowsReply, error) {
-	wait := min(time.Duration(query.GetWaitMillis())*time.Millisecond, maxReplyWait)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	deadline := time.Now().Add(min(time.Duration(query.GetWaitMillis())*time.Millisecond, maxReplyWait))
 	for {
+		age, now := s.Age(), time.Now() // before the rows: those of a later confirmation are newer
 		s.mu.Lock()
 		data, err := s.encodeNewer(query)
 		changed := s.changed
 		s.mu.Unlock()
-		current := s.followsStore.Load()
 		if err != nil {
 			return nil, err
 		}
-		if len(data) > 0 || !current {
-			return &peerpb.RowsReply{Rows: data, Checksum: checksum(data), Current: current, Maintained: current || s.followsReader()}, nil
+		if len(data) > 0 || age > s.bounds.CurrentLimit() || !now.Before(deadline) {
+			return s.rowsReply(data, age), nil
 		}
 		select {
 		case <-changed:
-		case <-timer.C:
-			current := s.followsStore.Load()
-			return &peerpb.RowsReply{Current: current, Maintained: current || s.followsReader()}, nil
+		case <-time.After(min(deadline.Sub(now), s.bounds.CurrentLimit()-age+1)):
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// rowsReply returns a reply with encoded rows of an age.
+func (s *Source) rowsReply(data []byte, age time.Duration) *peerpb.RowsReply {
+	reply := &peerpb.RowsReply{
+		Rows:       data,
+		Checksum:   checksum(data),
+		Current:    age <= s.bounds.CurrentLimit(),
+		Maintained: age <= s.bounds.ReadLimit(),
+	}
+	if age != freshness.Never {
+		reply.AgeMillis = proto.Uint32(uint32(min(age.Milliseconds(), math.MaxUint32)))
+	}
+	return reply
+}
+
 // encodedRows caches the rows last sent, since the followers of a zone reader mostly request the
 // same ones.
 type encodedRows struct {
--- a/mesh/source/zone_reader_test.go
+++ b/mesh/source/zone_reader_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -39,6 +40,7 @@
 	*fakeStore
 	mu       sync.Mutex
 	cut      bool // requests to the store fail
+	silent   bool // requests to the store get no response
 	requests int  // number of requests that returned rows
 }
 
@@ -49,24 +51,35 @@
 	l.requests++
 }
 
+func (l *link) setSilent(silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = silent
+}
+
 func (l *link) setCut(cut bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cut = cut
 }
 
-// failure returns the error of each request while the link is cut.
-func (l *link) failure() error {
+// failure returns the error of each request while the link is cut or silent, in the latter case when
+// the client gives up.
+func (l *link) failure(ctx context.Context) error {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.cut {
+	cut, silent := l.cut, l.silent
+	l.mu.Unlock()
+	if silent {
+		sleep(ctx, fakeTimeout)
+	}
+	if cut || silent {
 		return store.ErrUnavailable
 	}
 	return nil
 }
 
 func (l *link) Read(ctx context.Context) (OperatorChanges, error) {
-	if err := l.failure(); err != nil {
+	if err := l.failure(ctx); err != nil {
 		return OperatorChanges{}, err
 	}
 	l.countRequest()
@@ -74,13 +87,16 @@
 }
 
 func (l *link) Await(ctx context.Context, after uint64, wait time.Duration) (OperatorChanges, error) {
-	if err := l.failure(); err != nil {
+	if err := l.failure(ctx); err != nil {
 		return OperatorChanges{}, err
 	}
 	changes, err := l.fakeStore.Await(ctx, after, min(wait, 100*time.Millisecond)) // so that a cut link is detected soon
 	if errors.Is(err, context.DeadlineExceeded) {
 		return changes, nil // the wait is over
 	}
+	if failure := l.failure(ctx); failure != nil {
+		return OperatorChanges{}, failure
+	}
 	l.countRequest()
 	return changes, err
 }
@@ -109,11 +125,19 @@
 	m.zone.mu.Lock()
 	defer m.zone.mu.Unlock()
 	for host := range m.zone.sources {
-		list = append(list, gossip.Member{Record: gossip.Record{Host: host, Zone: "a"}, Status: gossip.Alive})
+		list = append(list, gossip.Member{Record: gossip.Record{Host: host, Zone: zoneOf(host)}, Status: gossip.Alive})
 	}
 	return list
 }
 
+// zoneOf returns the zone of a host: "b" if its name begins so, else "a".
+func zoneOf(host string) string {
+	if strings.HasPrefix(host, "b-") {
+		return "b"
+	}
+	return "a"
+}
+
 // startZone starts the sources of the given number of hosts over one store.
 func startZone(t *testing.T, r *fakeStore, hosts int) *zone {
 	z := &zone{t: t, sources: make(map[string]*Source), links: make(map[string]*link), silent: make(map[string]bool)}
@@ -130,7 +154,7 @@
 // add adds the source of a host without starting it.
 func (z *zone) add(host string, r *fakeStore) *Source {
 	l := &link{fakeStore: r}
-	s := New(Self{host, "a"}, l, l, members{z}, z, testTiming, zap.NewNop())
+	s := New(Self{host, zoneOf(host)}, l, l, members{z}, z, testTiming, zap.NewNop())
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.sources[host], z.links[host] = s, l
