Tell by gossip which part of the revisions in force is newer

A host with the newer row of a rollout and the older configuration had the higher revision, so that no gossip told it of the newer configuration, and none told the other host of the verdict that it lacked. While a rollout writes a row each second, only the zone readers' way was left.

Messages of older releases state the latest revision only, and are compared by it.

--- a/coord/gossip/message.go
+++ b/coord/gossip/message.go
@@ -14,8 +14,8 @@
 // claims and updates.
 type Message struct {
 	From Sender
-	// Revision is the configuration revision in force at the sender.
-	Revision uint64
+	// Revisions are in force at the sender.
+	Revisions Revisions
 	// Body is nil in a message that only carries rumours.
 	Body    Body
 	Records []Record
@@ -120,10 +120,10 @@
 	Message Message
 }
 
-// RevisionReport states that a host has a configuration revision in force.
+// RevisionReport states that a host has revisions in force.
 type RevisionReport struct {
-	Revision uint64
-	Host     string
+	Revisions Revisions
+	Host      string
 }
 
 // Output is what a Node asks its driver to do: packets to send and changes to report.
@@ -136,7 +136,7 @@
 	// Updates are those received for the first time, and this host's own new reports of unreachable
 	// zones. Those passed to Publish are not included.
 	Updates []Update
-	// NewerRevision is set if a host reported a revision above the node's own.
+	// NewerRevision is set if a host reported revisions of which one is above the node's own.
 	NewerRevision *RevisionReport
 }
 
--- a/coord/gossip/node.go
+++ b/coord/gossip/node.go
@@ -11,15 +11,16 @@
 // Config.RumourInterval and Receive for each message, and carries out the returned Output. It
 // is not safe for concurrent use.
 type Node struct {
-	cfg      Config
-	self     *entry
-	table    *table
-	rumours  rumours
-	updates  updates
-	budget   budget
-	random   *rand.Rand
-	seeds    []string
-	revision uint64
+	cfg     Config
+	self    *entry
+	table   *table
+	rumours rumours
+	updates updates
+	budget  budget
+	random  *rand.Rand
+	seeds   []string
+	// revisions are in force at this host.
+	revisions Revisions
 
 	// probes are the unanswered probes of this host, relays those sent for other members; the
 	// keys of both are probe numbers.
@@ -177,10 +178,10 @@
 	return n.flush()
 }
 
-// SetRevision sets the configuration revision in force at this host.
-func (n *Node) SetRevision(revision uint64) {
-	n.revision = revision
-	n.self.revision = revision
+// SetRevisions sets the configuration revisions in force at this host.
+func (n *Node) SetRevisions(revisions Revisions) {
+	n.revisions = revisions
+	n.self.revision = revisions.Latest
 }
 
 // leaveFanout is the number of members of the local zone that are sent a leave notice at once.
@@ -234,7 +235,7 @@
 // LatestRevision returns the latest revision that this host or any member that is not dead has
 // in force, and the other hosts that reported it.
 func (n *Node) LatestRevision() (uint64, []string) {
-	latest := n.revision
+	latest := n.revisions.Latest
 	var hosts []string
 	for _, e := range n.table.all {
 		if e == n.self || e.status == Dead || e.revision < latest {
@@ -259,15 +260,16 @@
 	return Member{Record: e.record, Status: status, Revision: e.revision}
 }
 
-// recordRevision records the sender's revision and reports one above the node's own.
+// recordRevision records the sender's latest revision, and reports its revisions if any of them is above
+// the node's own.
 func (n *Node) recordRevision(m *Message) {
 	e := n.table.hosts[m.From.Host]
 	if e == nil {
 		return
 	}
-	e.revision = m.Revision
-	if m.Revision > n.revision {
-		n.out.NewerRevision = &RevisionReport{Revision: m.Revision, Host: m.From.Host}
+	e.revision = m.Revisions.Latest
+	if m.Revisions.NewerThan(n.revisions) {
+		n.out.NewerRevision = &RevisionReport{Revisions: m.Revisions, Host: m.From.Host}
 	}
 }
 
@@ -290,9 +292,9 @@
 func (n *Node) newMessage(body Body) Message {
 	r := &n.self.record
 	return Message{
-		From:     Sender{Host: r.Host, Zone: r.Zone, Address: r.GossipAddress},
-		Revision: n.revision,
-		Body:     body,
+		From:      Sender{Host: r.Host, Zone: r.Zone, Address: r.GossipAddress},
+		Revisions: n.revisions,
+		Body:      body,
 	}
 }
 
--- a/coord/gossip/size.go
+++ b/coord/gossip/size.go
@@ -7,6 +7,8 @@
 // overhead stringSize, and referred to by its index.
 const (
 	headerSize = 40
+	// partsSize is that of the revisions of the parts of the configuration.
+	partsSize  = 24
 	stringSize = 3
 	recordSize = 56
 	targetSize = 18
@@ -34,6 +36,9 @@
 	s.text(m.From.Host)
 	s.text(m.From.Zone)
 	s.address(m.From.Address)
+	if m.Revisions.Rollouts != 0 {
+		s.total += partsSize
+	}
 	s.body(m.Body)
 	s.parts(m)
 	return s
--- a/mesh/daemon/configuration.go
+++ b/mesh/daemon/configuration.go
@@ -6,6 +6,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/distribution"
@@ -30,8 +31,8 @@
 	// OnApply registers a function that is called with each snapshot that comes into force, in
 	// order. It must be called before Start.
 	OnApply(func(*revision.Snapshot))
-	// ObserveRevision processes the latest revision that another daemon reported.
-	ObserveRevision(number uint64, host string)
+	// ObserveRevision processes the revisions that another daemon reported.
+	ObserveRevision(gossip.RevisionReport)
 	// Start starts the background work, Stop ends it and waits for it.
 	Start()
 	Stop()
--- a/mesh/distribution/distributor_test.go
+++ b/mesh/distribution/distributor_test.go
@@ -62,7 +62,7 @@
 	l.network.mu.Lock()
 	d := l.network.hosts[l.self]
 	l.network.mu.Unlock()
-	d.ObserveRevision(number, l.self)
+	d.ObserveRevision(gossip.RevisionReport{Revisions: gossip.Revisions{Latest: number}, Host: l.self})
 }
 
 func (l *memberList) LatestRevision() (uint64, []string) { return 0, nil }
--- a/mesh/distribution/repair.go
+++ b/mesh/distribution/repair.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
@@ -60,11 +61,11 @@
 	}
 }
 
-// ObserveRevision handles a report that the host has a revision: if it is newer than the latest
+// ObserveRevision handles a report that a host has a revision: if it is newer than the latest
 // snapshot, a pull from the host is scheduled.
-func (d *Distributor) ObserveRevision(number uint64, host string) {
-	if number > d.Latest().Revision() {
-		d.schedulePull(host)
+func (d *Distributor) ObserveRevision(report gossip.RevisionReport) {
+	if report.Revisions.Latest > d.Latest().Revision() {
+		d.schedulePull(report.Host)
 	}
 }
 
--- a/mesh/membership/codec_test.go
+++ b/mesh/membership/codec_test.go
@@ -34,7 +34,7 @@
 	}
 	var messages []gossip.Message
 	for _, body := range bodies {
-		messages = append(messages, gossip.Message{From: from, Revision: 42, Body: body})
+		messages = append(messages, gossip.Message{From: from, Revisions: gossip.Revisions{Latest: 42, Configuration: 41, Rollouts: 42}, Body: body})
 	}
 	full := gossip.Message{From: from, Body: gossip.Delta{}, Records: []gossip.Record{sampleRecord()}}
 	full.Claims = []gossip.Claim{{Host: "h2", Incarnation: 1, Sequence: 2, Dead: true}}
--- a/mesh/membership/decode.go
+++ b/mesh/membership/decode.go
@@ -31,8 +31,8 @@
 			Zone:    dec.stringAt(d.Zone),
 			Address: dec.address(d.Address),
 		},
-		Revision: d.Revision,
-		Body:     dec.body(&d),
+		Revisions: gossip.Revisions{Latest: d.Revision, Configuration: d.Configuration, Rollouts: d.Rollouts},
+		Body:      dec.body(&d),
 	}
 	for _, r := range d.Records {
 		m.Records = append(m.Records, dec.record(r))
--- a/mesh/membership/encode.go
+++ b/mesh/membership/encode.go
@@ -19,7 +19,9 @@
 	d.Host = e.stringIndex(m.From.Host)
 	d.Zone = e.stringIndex(m.From.Zone)
 	d.Address = e.address(m.From.Address)
-	d.Revision = m.Revision
+	d.Revision = m.Revisions.Latest
+	d.Configuration = m.Revisions.Configuration
+	d.Rollouts = m.Revisions.Rollouts
 	e.body(m.Body)
 	for i := range m.Records {
 		d.Records = append(d.Records, e.record(&m.Records[i]))
--- a/mesh/membership/events.go
+++ b/mesh/membership/events.go
@@ -18,7 +18,7 @@
 // callbacks are the registered callbacks, by kind of event.
 type callbacks struct {
 	onChange        []func([]gossip.Member)
-	onNewerRevision []func(revision uint64, host string)
+	onNewerRevision []func(gossip.RevisionReport)
 	onUpdate        []func(gossip.Update)
 }
 
@@ -41,9 +41,9 @@
 	m.events.onChange = append(m.events.onChange, f)
 }
 
-// OnNewerRevision registers f, which is called when a host reports a revision above this host's,
-// and again with each further message of such a host. f must not block.
-func (m *Membership) OnNewerRevision(f func(revision uint64, host string)) {
+// OnNewerRevision registers f, which is called when a host reports revisions of which one is above this
+// host's, and again with each further message of such a host. f must not block.
+func (m *Membership) OnNewerRevision(f func(gossip.RevisionReport)) {
 	m.events.mu.Lock()
 	defer m.events.mu.Unlock()
 	m.events.onNewerRevision = append(m.events.onNewerRevision, f)
@@ -106,7 +106,7 @@
 	}
 	for _, report := range batch.newerRevisions {
 		for _, f := range c.onNewerRevision {
-			f(report.Revision, report.Host)
+			f(report)
 		}
 	}
 	for _, update := range batch.updates {
--- a/mesh/membership/membership.go
+++ b/mesh/membership/membership.go
@@ -116,8 +116,13 @@
 
 // SetRevision sets the configuration revision in force at this host, which its messages report.
 func (m *Membership) SetRevision(revision uint64) {
+	m.SetRevisions(gossip.Revisions{Latest: revision})
+}
+
+// SetRevisions is SetRevision with the revisions of the parts of the configuration.
+func (m *Membership) SetRevisions(revisions gossip.Revisions) {
 	m.step(func(time.Time) gossip.Output {
-		m.node.SetRevision(revision)
+		m.node.SetRevisions(revisions)
 		m.revisionsChanged = true
 		return gossip.Output{}
 	})
--- a/mesh/membership/membership_test.go
+++ b/mesh/membership/membership_test.go
@@ -128,9 +128,9 @@
 	is := is.New(t)
 	fleet := startFleet(t)
 	var reported atomic.Uint64
-	fleet[6].OnNewerRevision(func(revision uint64, host string) {
-		if host == "host-1" {
-			reported.Store(revision)
+	fleet[6].OnNewerRevision(func(report gossip.RevisionReport) {
+		if report.Host == "host-1" {
+			reported.Store(report.Revisions.Latest)
 		}
 	})
 	fleet[1].SetRevision(42)
--- a/mesh/source/gossip.go
+++ b/mesh/source/gossip.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"sassafrasnotch.example/coord/gossip"
 )
 
 // gossipReadInterval is the minimum time between two reads that a revision from gossip causes.
@@ -14,12 +16,12 @@
 // the change feed mostly delivers the revision.
 const rereadDelayFraction = 0.5
 
-// ObserveRevision records a revision that another daemon has applied. If it is not in force here, a
-// daemon that follows the store reads all rows; any other daemon pulls the revision from that host,
-// after a delay in which the zone reader that it follows may send it.
-func (s *Source) ObserveRevision(revision uint64, host string) {
-	s.latest.Store(max(revision, s.latest.Load()))
-	if s.hasApplied(revision) {
+// ObserveRevision records the revisions that another daemon has applied. If one is not in force here, a
+// daemon that follows the store reads all rows; any other daemon pulls the rows from that host, after a
+// delay in which the zone reader that it follows may send them.
+func (s *Source) ObserveRevision(report gossip.RevisionReport) {
+	s.latest.Store(max(report.Revisions.Latest, s.latest.Load()))
+	if s.hasApplied(report.Revisions) {
 		return
 	}
 	s.mu.Lock()
@@ -30,40 +32,40 @@
 	s.lastGossipRead = time.Now()
 	switch {
 	case s.followsReader():
-		s.goroutines.Go(func() { s.fetch(revision, host, s.applyFraction(fetchDelayFraction)) })
+		s.goroutines.Go(func() { s.fetch(report, s.applyFraction(fetchDelayFraction)) })
 	case s.followsStore.Load():
-		s.goroutines.Go(func() { s.rereadUnlessApplied(revision, s.applyFraction(rereadDelayFraction)) })
+		s.goroutines.Go(func() { s.rereadUnlessApplied(report.Revisions, s.applyFraction(rereadDelayFraction)) })
 	default:
-		s.goroutines.Go(func() { s.fetch(revision, host, 0) })
+		s.goroutines.Go(func() { s.fetch(report, 0) })
 	}
 }
 
-// rereadUnlessApplied makes the goroutine that follows the store read all rows if the revision is
+// rereadUnlessApplied makes the goroutine that follows the store read all rows if the revisions are
 // not in force after the wait: the connection of the change feed may have stopped delivering.
-func (s *Source) rereadUnlessApplied(revision uint64, wait time.Duration) {
+func (s *Source) rereadUnlessApplied(revisions gossip.Revisions, wait time.Duration) {
 	sleep(s.stopped, wait)
-	if !s.hasApplied(revision) && s.stopped.Err() == nil {
+	if !s.hasApplied(revisions) && s.stopped.Err() == nil {
 		signal(s.reread)
 	}
 }
 
-// fetch pulls a revision from the host that reported it if the revision is not in force after the
-// wait. If it isn't in force after the pull either, the daemon reads the store.
-func (s *Source) fetch(revision uint64, host string, wait time.Duration) {
+// fetch pulls revisions from the host that reported them if they are not in force after the wait. If
+// they aren't in force after the pull either, the daemon reads the store.
+func (s *Source) fetch(report gossip.RevisionReport, wait time.Duration) {
 	sleep(s.stopped, wait)
-	if s.hasApplied(revision) || s.stopped.Err() != nil {
+	if s.hasApplied(report.Revisions) || s.stopped.Err() != nil {
 		return
 	}
-	if _, err := s.pullRows(s.stopped, host, 0, s.bounds.ReplyTime()); err != nil {
-		s.logger.Info("newer revision not pulled from peer", zap.String("peer", host), zap.Uint64("revision", revision), zap.Error(err))
+	if _, err := s.pullRows(s.stopped, report.Host, 0, s.bounds.ReplyTime()); err != nil {
+		s.logger.Info("newer revision not pulled from peer", zap.String("peer", report.Host), zap.Uint64("revision", report.Revisions.Latest), zap.Error(err))
 	}
-	if !s.hasApplied(revision) {
+	if !s.hasApplied(report.Revisions) {
 		s.switchToStore()
 	}
 }
 
-// hasApplied reports whether a revision or a newer one is in force.
-func (s *Source) hasApplied(revision uint64) bool {
-	snapshot := s.Snapshot()
-	return snapshot != nil && snapshot.Revision() >= revision
+// hasApplied reports whether the revisions or newer ones are in force.
+func (s *Source) hasApplied(revisions gossip.Revisions) bool {
+	current := s.applied.Load()
+	return current != nil && !revisions.NewerThan(current.revisions)
 }
--- a/mesh/source/row_state.go
+++ b/mesh/source/row_state.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/rollout"
 	"sassafrasnotch.example/coord/ticket"
@@ -130,6 +131,20 @@
 	return revision.NewSnapshot(newest, s.configuration.Number, resources)
 }
 
+// revisions returns the newest store versions of the rows of operators and of those of rollouts. The two
+// are read separately, so that a host may have the newer ones of one kind and the older ones of the
+// other. latest is the revision of the snapshot.
+func (s *rowState) revisions(latest uint64) gossip.Revisions {
+	revisions := gossip.Revisions{Latest: latest, Configuration: s.configuration.StoreVersion}
+	for _, order := range s.orders {
+		revisions.Configuration = max(revisions.Configuration, order.StoreVersion)
+	}
+	for _, row := range s.rollouts {
+		revisions.Rollouts = max(revisions.Rollouts, row.StoreVersion)
+	}
+	return revisions
+}
+
 // namedVersion returns the version that a split names beside AnyVersion.
 func namedVersion(split *revision.Split) string {
 	if split.Rollout != nil {
--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/freshness"
+	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/mesh/readers"
 )
@@ -88,10 +89,11 @@
 	goroutines     sync.WaitGroup
 }
 
-// appliedSnapshot is a snapshot with the time at which it came into force.
+// appliedSnapshot is a snapshot with the revisions of its parts and the time at which it came into force.
 type appliedSnapshot struct {
-	snapshot *revision.Snapshot
-	at       time.Time
+	snapshot  *revision.Snapshot
+	revisions gossip.Revisions
+	at        time.Time
 }
 
 // New returns a source that holds no configuration yet.
@@ -392,8 +394,9 @@
 		return // no configuration yet
 	}
 	s.state.changed = false
-	s.applied.Store(&appliedSnapshot{snapshot: next, at: time.Now()})
-	s.members.SetRevision(next.Revision())
+	revisions := s.state.revisions(next.Revision())
+	s.applied.Store(&appliedSnapshot{snapshot: next, revisions: revisions, at: time.Now()})
+	s.members.SetRevisions(revisions)
 	s.logger.Info("configuration applied", zap.Uint64("revision", next.Revision()),
 		zap.Uint64("ticket", s.state.configuration.Number), zap.Int("routes", len(s.state.configuration.Routes)),
 		zap.Int("moves", len(next.RunningRollouts())), zap.String("origin", origin))
--- a/mesh/source/source_test.go
+++ b/mesh/source/source_test.go
@@ -164,8 +164,13 @@
 // noMembers is the membership of a daemon that knows no other one.
 type noMembers struct{}
 
-func (noMembers) SetRevision(uint64)       {}
-func (noMembers) Members() []gossip.Member { return nil }
+func (noMembers) SetRevisions(gossip.Revisions) {}
+func (noMembers) Members() []gossip.Member      { return nil }
+
+// reportOf returns the report of a host without rollouts.
+func reportOf(revision uint64, host string) gossip.RevisionReport {
+	return gossip.RevisionReport{Revisions: gossip.Revisions{Latest: revision}, Host: host}
+}
 
 // noPeers reaches no other daemon.
 type noPeers struct{}
@@ -246,7 +251,7 @@
 			case <-stop:
 				return
 			default:
-				s.ObserveRevision(1000, "other")
+				s.ObserveRevision(reportOf(1000, "other"))
 				time.Sleep(5 * time.Millisecond)
 			}
 		}
@@ -265,7 +270,7 @@
 	r.version++
 	r.changes = OperatorChanges{Through: r.version, Configurations: []Configuration{configuration(5, r.version, "/a/")}}
 	r.mu.Unlock() // without waking the waiting calls of Await
-	s.ObserveRevision(r.version, "other")
+	s.ObserveRevision(reportOf(r.version, "other"))
 	eventually(t, "the next configuration", func() bool { return s.number() == 5 })
 }
 
@@ -281,7 +286,7 @@
 	time.Sleep(s.applyFraction(startPauseFraction))
 	for number := uint64(5); number < 12; number++ {
 		r.configure(number, "/a/")
-		s.ObserveRevision(r.version, "other")
+		s.ObserveRevision(reportOf(r.version, "other"))
 		time.Sleep(100 * time.Millisecond)
 	}
 	eventually(t, "the last configuration", func() bool { return s.number() == 11 })
--- a/mesh/source/zone_reader.go
+++ b/mesh/source/zone_reader.go
@@ -51,8 +51,8 @@
 type Members interface {
 	// Members returns the member list.
 	Members() []gossip.Member
-	// SetRevision announces the applied revision to the other daemons.
-	SetRevision(revision uint64)
+	// SetRevisions announces the applied revisions to the other daemons.
+	SetRevisions(gossip.Revisions)
 }
 
 // Self identifies the local daemon.
--- a/mesh/source/zone_reader_test.go
+++ b/mesh/source/zone_reader_test.go
@@ -120,7 +120,7 @@
 // members is the membership of a zone.
 type members struct{ zone *zone }
 
-func (m members) SetRevision(uint64) {}
+func (m members) SetRevisions(gossip.Revisions) {}
 func (m members) Members() (list []gossip.Member) {
 	m.zone.mu.Lock()
 	defer m.zone.mu.Unlock()
@@ -290,7 +290,7 @@
 	t.Cleanup(started.Stop)
 	// Each gossip message reports a host with a revision again.
 	eventually(t, "the configuration of another daemon", func() bool {
-		started.ObserveRevision(1, "host-0")
+		started.ObserveRevision(reportOf(1, "host-0"))
 		return started.number() == 1
 	})
 	for _, l := range z.links {
