--- a/mesh/source/hidden_revision_test.go
+++ b/mesh/source/hidden_revision_test.go
@@ -1,6 +1,7 @@
 package source
 
 import (
+	"context"
 	"testing"
 
 	"github.com/matryer/is"
@@ -37,9 +38,8 @@
 			z := &zone{t: t, sources: make(map[string]*Source), links: make(map[string]*link), silent: make(map[string]bool)}
 			r := newFakeStore()
 			here, there := z.add("host-0", r), z.add("host-1", r)
-			here.Start()
+			here.stopped, here.stop = context.WithCancel(t.Context()) // nothing is followed
 			t.Cleanup(here.Stop)
-			z.links["host-0"].setCut(true)
 			c.held(here)
 			c.other(there)
 			here.ObserveRevision(gossip.RevisionReport{Revisions: there.applied.Load().revisions, Host: "host-1"})
