Let the stand-in for the store come back from an older copy

Faults.Restore goes back to an earlier time and writes the operator's rows again, Server.Restore without that. No logic of the daemon is changed.

--- a/mesh/standin/platformserver/faults.go
+++ b/mesh/standin/platformserver/faults.go
@@ -2,8 +2,10 @@
 
 import (
 	"sync"
+	"time"
 
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/platform/wire"
 )
 
 // Faults are the faults that the service injects at present.
@@ -17,6 +19,9 @@
 	RateLimited bool `json:"busy,omitempty"`
 	// DropHistory makes SetFaults drop the history of the changes so far, once.
 	DropHistory bool `json:"dropHistory,omitempty"`
+	// Restore makes SetFaults replace the rows by those of that long ago and begin a new era, once. The
+	// rows of operators are written again as they were last.
+	Restore revision.Duration `json:"restore,omitempty"`
 	// Unresponsive accepts every operation, does not carry it out and sends no response.
 	Unresponsive bool `json:"silent,omitempty"`
 	// Delay is added before each operation. A write takes effect after the delay even if its
@@ -83,9 +88,16 @@
 		f.DropHistory = false
 		s.tables.dropHistory()
 	}
+	if age := f.Restore.Std(); age > 0 {
+		f.Restore = 0
+		s.tables.restore(time.Now().Add(-age), wire.TableOperator)
+	}
 	s.state.faults = f
 }
 
+// Restore replaces the rows by those of an earlier time and begins a new era. Nothing is written again.
+func (s *Server) Restore(to time.Time) { s.tables.restore(to, "") }
+
 // Faults returns the injected faults.
 func (s *Server) Faults() Faults {
 	s.state.mu.Lock()
--- a/mesh/standin/platformserver/operations.go
+++ b/mesh/standin/platformserver/operations.go
@@ -44,6 +44,7 @@
 	timer := time.NewTimer(time.Duration(waitMillis) * time.Millisecond)
 	defer timer.Stop()
 	for expired := false; ; {
+		s.stateEra(c) // it may have begun during the wait
 		rows, changed, available := s.tables.changesSince(c.Query(wire.ParamTable), after)
 		if !available {
 			writeError(c, http.StatusGone, "the history after this version is no longer available")
--- a/mesh/standin/platformserver/server.go
+++ b/mesh/standin/platformserver/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -43,7 +44,7 @@
 	s.handler.POST(PathOperator, s.postOperatorRows)
 	s.handler.GET(PathRow, s.getRow)
 
-	service := s.handler.Group("", s.injectFaults)
+	service := s.handler.Group("", s.injectFaults, s.stateEra)
 	service.GET(wire.PathRange, s.getRange)
 	service.GET(wire.PathFeed, s.feed)
 	service.POST(wire.PathTransaction, s.transact)
@@ -131,6 +132,11 @@
 	}
 }
 
+// stateEra states the era of the store in the response.
+func (s *Server) stateEra(c *gin.Context) {
+	c.Header(wire.HeaderStoreEra, strconv.FormatUint(s.tables.currentEra(), 10))
+}
+
 // exempts reports whether the faults do not apply to the client with this address.
 func (f Faults) exempts(remoteAddress string) bool {
 	if len(f.OnlyClients) == 0 {
--- a/mesh/standin/platformserver/tables.go
+++ b/mesh/standin/platformserver/tables.go
@@ -1,6 +1,7 @@
 package platformserver
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
@@ -17,16 +18,25 @@
 	started time.Time
 
 	mu      sync.Mutex
+	era     uint64
 	version uint64
 	rows    map[rowKey]wire.Row
 	history []wire.Row
+	// written holds all changes of the present history of the store, dropped ones included.
+	written []writtenRow
 	// trimmed is the latest version up to which the history is dropped.
 	trimmed uint64
 	changed chan struct{} // closed at the next change
 }
 
+// writtenRow is a change with its time.
+type writtenRow struct {
+	at  time.Time
+	row wire.Row
+}
+
 func newTables() *tables {
-	return &tables{started: time.Now(), rows: make(map[rowKey]wire.Row), changed: make(chan struct{})}
+	return &tables{started: time.Now(), era: 1, rows: make(map[rowKey]wire.Row), changed: make(chan struct{})}
 }
 
 // nowMs returns the store's monotonic clock in milliseconds.
@@ -71,6 +81,42 @@
 		t.rows[key] = row
 	}
 	t.history = append(t.history, row)
+	t.written = append(t.written, writtenRow{time.Now(), row})
+}
+
+// restore replaces the content by that of an earlier time and begins a new era, in which versions go on
+// from the earlier one. The rows of one table are then written again as they were last.
+func (t *tables) restore(to time.Time, writtenAgain string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	last, copied := t.rows, t.written
+	t.era++
+	t.version, t.rows, t.history, t.written = 0, make(map[rowKey]wire.Row), nil, nil
+	for _, change := range copied {
+		if change.at.After(to) {
+			break
+		}
+		t.version = change.row.Version
+		t.record(change.row)
+		t.written[len(t.written)-1].at = change.at
+	}
+	t.history, t.trimmed = nil, t.version
+	for key, row := range last {
+		if present := t.rows[key]; key.table == writtenAgain && !bytes.Equal(present.Value, row.Value) {
+			t.version++
+			row.Version = t.version
+			t.record(row)
+		}
+	}
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// currentEra returns the era of the store.
+func (t *tables) currentEra() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era
 }
 
 // rowsInRange returns at most limit rows of a range of keys in ascending order; an empty to
@@ -96,7 +142,7 @@
 func (t *tables) changesSince(table string, after uint64) (result wire.Rows, changed <-chan struct{}, available bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if after < t.trimmed {
+	if after < t.trimmed || after > t.version {
 		return result, nil, false
 	}
 	result = wire.Rows{Rows: []wire.Row{}, Version: t.version, NowMs: t.nowMs()}
