Compare positions of the store by their era before their version

Number 15 of the configuration was acknowledged at 21.735 s and not in force on any daemon at 24.4 s (bound 2 s); with a rollout, the order that was written again ran as a second rollout.

Cause: the store's counter was taken for a total order for ever. After the restore number 15 got version 31, which the lost number 12 had before, and each daemon took the row for the one that it held.

store.Position, an era and a version compared in that order, is the type of all versions of the store now: rows, conditions of transactions, positions of feeds, revisions, and the numbers of tickets. The era comes with each response of the store. Rows of a later era are newer; a feed from a former era is answered like a dropped history; a condition of a former era fails; a late response of a former era is not believed. What the copy does not have stays in force until it is written again: a configuration against a lower number (unless the operator counts on from it, or for 20 s), the ticket and the verdict of an order. In the first era all numbers are those of releases that know no eras.

--- a/coord/claim/batch.go
+++ b/coord/claim/batch.go
@@ -16,7 +16,7 @@
 
 // Add adds a write on the condition that the row still has the version. It returns false and
 // adds nothing if the batch is full or already has a write of the row.
-func (b *Batch) Add(version uint64, write store.Write) bool {
+func (b *Batch) Add(version store.Position, write store.Write) bool {
 	if len(b.Writes) >= MaxBatchRows || b.rows[write.Key] {
 		return false
 	}
--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -83,11 +83,11 @@
 	name, holder string
 	term         time.Duration
 	observed     bool
-	leaseVersion uint64        // version of the lease row
-	changedAt    time.Duration // when leaseVersion was first observed
+	leaseVersion store.Position // version of the lease row
+	changedAt    time.Duration  // when leaseVersion was first observed
 	held         bool
-	epoch        uint64 // while held
-	fenceVersion uint64 // version of the fencing row, while held
+	epoch        uint64         // while held
+	fenceVersion store.Position // version of the fencing row, while held
 }
 
 // New returns a candidate that has not observed the rows yet. Holder identifies the process,
@@ -149,7 +149,7 @@
 }
 
 // observe records when the lease row last changed.
-func (c *Candidate) observe(version uint64, now time.Duration) {
+func (c *Candidate) observe(version store.Position, now time.Duration) {
 	if c.observed && version == c.leaseVersion {
 		return
 	}
--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -121,3 +121,38 @@
 	// renew
 	// <nil>
 }
+
+func TestFenceOfAFormerEraFailsThoughItsVersionIsGivenOutAgain(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	a, b := newFakeHost(table, "a", 0), newFakeHost(table, "b", 0)
+	copied := table.Copy()
+	is.Equal(a.tick(), Acquire)
+	is.Equal(a.tick(), Renew)
+	held := a.Compare()
+	table.Restore(copied)
+	is.Equal(b.tick(), Acquire)
+	is.Equal(b.tick(), Renew)
+	is.Equal(held.Version.Version(), b.Compare().Version.Version()) // the same number
+	is.True(errors.Is(a.write(), store.ErrConflict))
+	is.NoErr(b.write())
+	is.Equal(a.tick(), Lost)
+}
+
+func TestHolderInTheCopyIsTheOnlyOne(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	a, b := newFakeHost(table, "a", 0), newFakeHost(table, "b", 0)
+	is.Equal(a.tick(), Acquire)
+	is.Equal(a.tick(), Renew)
+	copied := table.Copy()
+	for range 4 { // a is paused
+		b.tick()
+	}
+	is.Equal(b.tick(), Renew)
+	table.Restore(copied)
+	is.True(errors.Is(b.write(), store.ErrConflict))
+	is.Equal(a.tick(), Renew) // the store shows it as the holder again
+	is.Equal(b.tick(), Lost)
+	is.NoErr(a.write())
+}
--- a/coord/revision/compact.go
+++ b/coord/revision/compact.go
@@ -32,7 +32,7 @@
 
 // storeSnapshot writes the snapshot object first and then updates the snapshot row, which must
 // still be at the given version, so that the row never refers to a missing object.
-func (l *Log) storeSnapshot(ctx context.Context, version uint64, snapshot *Snapshot) error {
+func (l *Log) storeSnapshot(ctx context.Context, version store.Position, snapshot *Snapshot) error {
 	data, err := snapshot.Encode()
 	if err != nil {
 		return err
--- a/coord/revision/resource.go
+++ b/coord/revision/resource.go
@@ -167,8 +167,11 @@
 type Rollout struct {
 	// Ticket is the number of the ticket that started the rollout.
 	Ticket uint64 `json:"ticket"`
-	From   string `json:"from"`
-	To     string `json:"to"`
+	// Order is the position in the store of the order that the rollout carries out, if it is not the one
+	// that gave the ticket its number: the store came back from an older copy. Otherwise it is 0.
+	Order uint64 `json:"order,omitempty"`
+	From  string `json:"from"`
+	To    string `json:"to"`
 	// Target is the final share of To, in basis points: the one in force once the rollout is
 	// completed.
 	Target int `json:"target"`
--- a/coord/rollout/state.go
+++ b/coord/rollout/state.go
@@ -43,8 +43,10 @@
 	// by Ticket.
 	Service string `json:"service"`
 	Ticket  uint64 `json:"ticket"`
-	From    string `json:"from"`
-	To      string `json:"to"`
+	// Order is as in revision.Rollout.
+	Order uint64 `json:"order,omitempty"`
+	From  string `json:"from"`
+	To    string `json:"to"`
 	// Preference selects the Policy.
 	Preference revision.Preference `json:"preference"`
 	// TargetShare is the final share of To, in basis points: the one in force once the rollout is
@@ -91,7 +93,7 @@
 		target = revision.FullShare
 	}
 	return State{
-		Service: service, Ticket: rollout.Ticket, From: rollout.From, To: rollout.To,
+		Service: service, Ticket: rollout.Ticket, Order: rollout.Order, From: rollout.From, To: rollout.To,
 		Preference: preference, TargetShare: target, AcceptedAt: announced, Deadline: rollout.By,
 		Step: chart.Initial(), StepAt: announced, Verdict: ticket.Running,
 		Settle: rollout.Settle,
@@ -110,7 +112,7 @@
 	}
 	if s.Verdict == ticket.Running {
 		split.Rollout = &revision.Rollout{
-			Ticket: s.Ticket, From: s.From, To: s.To, Target: s.TargetShare,
+			Ticket: s.Ticket, Order: s.Order, From: s.From, To: s.To, Target: s.TargetShare,
 			By: s.Deadline, Step: s.Step, Hosts: s.Hosts, Settle: s.Settle,
 			Controller: s.Controller,
 		}
--- a/coord/store/memory.go
+++ b/coord/store/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -10,25 +11,67 @@
 // Memory is a Store held in memory. It is safe for concurrent use.
 type Memory struct {
 	mu      sync.Mutex
+	era     uint64
 	commit  uint64
-	rows    map[string]Row
+	rows    map[string]memoryRow
+	objects map[string][]byte
+}
+
+// memoryRow is a row with the version at which it was written, in whichever era.
+type memoryRow struct {
+	value   []byte
+	version uint64
+}
+
+// MemoryCopy is the content of a Memory at one time.
+type MemoryCopy struct {
+	commit  uint64
+	rows    map[string]memoryRow
 	objects map[string][]byte
 }
 
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{rows: make(map[string]Row), objects: make(map[string][]byte)}
+	return &Memory{era: FirstEra, rows: make(map[string]memoryRow), objects: make(map[string][]byte)}
+}
+
+// Copy returns a copy of the present content.
+func (m *Memory) Copy() MemoryCopy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return MemoryCopy{m.commit, maps.Clone(m.rows), maps.Clone(m.objects)}
+}
+
+// Restore replaces the content by an earlier copy and begins a new era.
+func (m *Memory) Restore(from MemoryCopy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.commit, m.rows, m.objects = from.commit, maps.Clone(from.rows), maps.Clone(from.objects)
+}
+
+// position returns the position of a version in the present era, or 0 for an absent row.
+func (m *Memory) position(version uint64) Position {
+	if version == 0 {
+		return 0
+	}
+	return Position((m.era-FirstEra)<<versionBits | version)
+}
+
+// row returns a row under its key.
+func (m *Memory) row(key string) Row {
+	row := m.rows[key]
+	return Row{Key: key, Value: row.value, Version: m.position(row.version)}
 }
 
 // Get implements Table.
 func (m *Memory) Get(_ context.Context, key string) (Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	row, ok := m.rows[key]
-	if !ok {
+	if _, ok := m.rows[key]; !ok {
 		return Row{}, ErrNotFound
 	}
-	return row, nil
+	return m.row(key), nil
 }
 
 // Scan implements Table.
@@ -36,9 +79,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var rows []Row
-	for key, row := range m.rows {
+	for key := range m.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
-			rows = append(rows, row)
+			rows = append(rows, m.row(key))
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
@@ -53,7 +96,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, c := range compares {
-		if m.rows[c.Key].Version != c.Version {
+		if m.row(c.Key).Version != c.Version {
 			return ErrConflict
 		}
 	}
@@ -63,7 +106,7 @@
 			delete(m.rows, w.Key)
 			continue
 		}
-		m.rows[w.Key] = Row{Key: w.Key, Value: append([]byte(nil), w.Value...), Version: m.commit}
+		m.rows[w.Key] = memoryRow{append([]byte(nil), w.Value...), m.commit}
 	}
 	return nil
 }
--- a/coord/store/store.go
+++ b/coord/store/store.go
@@ -21,22 +21,24 @@
 	ErrOutcomeUnknown = errors.New("store: outcome unknown")
 )
 
-// ErrTrimmed means that the store no longer has the changes after the requested version. The
-// reader starts again from the rows themselves.
+// ErrTrimmed means that the store does not have the changes after the requested position: they were
+// dropped, or the store came back from an older copy. The reader starts again from the rows themselves.
 var ErrTrimmed = errors.New("store: history trimmed")
 
 // Row is one row of the table. The version grows with every write to any row, so a row that is
-// deleted and created again never repeats a version. Version 0 means absent.
+// deleted and created again never repeats a version. Version 0 means absent. A store that comes back
+// from an older copy has all its rows in a new era, which is part of their versions.
 type Row struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value"`
-	Version uint64 `json:"version"`
+	Key     string   `json:"key"`
+	Value   []byte   `json:"value"`
+	Version Position `json:"version"`
 }
 
-// Compare requires a row to have exactly Version; 0 requires it to be absent.
+// Compare requires a row to have exactly Version; 0 requires it to be absent. A version of a former era
+// is in no row, even if the same number was given out again.
 type Compare struct {
-	Key     string `json:"key"`
-	Version uint64 `json:"version"`
+	Key     string   `json:"key"`
+	Version Position `json:"version"`
 }
 
 // Write puts Value at Key, or deletes the row if Delete is set.
--- a/mesh/claim/store.go
+++ b/mesh/claim/store.go
@@ -43,9 +43,9 @@
 // a write of unknown outcome it reads the row back. It may write the same attempt again, since
 // claim.Decide recognizes the attempt's own row.
 func (b *tableBackend) claim(ctx context.Context, request *claim.Request) (claim.Decision, error) {
-	var previous *claim.Row // the row to replace; nil means absent
-	var version uint64      // of previous; 0 means absent
-	unknown := false        // an earlier write may have taken effect
+	var previous *claim.Row    // the row to replace; nil means absent
+	var version store.Position // of previous; 0 means absent
+	unknown := false           // an earlier write may have taken effect
 	for range maxRounds {
 		err := b.put(ctx, request, claim.NewRow(request, previous, b.now()), version)
 		if err == nil {
@@ -108,7 +108,7 @@
 
 // readOwn returns the attempt's own row with its version. The error is errAbsent if there is no row
 // and errNotHeld if the row belongs to another attempt.
-func (b *tableBackend) readOwn(ctx context.Context, request *claim.Request) (*claim.Row, uint64, error) {
+func (b *tableBackend) readOwn(ctx context.Context, request *claim.Request) (*claim.Row, store.Position, error) {
 	row, version, err := b.read(ctx, request.RowKey())
 	switch {
 	case err != nil:
@@ -121,7 +121,7 @@
 	return row, version, nil
 }
 
-func (b *tableBackend) put(ctx context.Context, request *claim.Request, row *claim.Row, version uint64) error {
+func (b *tableBackend) put(ctx context.Context, request *claim.Request, row *claim.Row, version store.Position) error {
 	value, err := row.Encode()
 	if err != nil {
 		return err
@@ -130,7 +130,7 @@
 }
 
 // write submits a write and waits for its result. If the context ends first, the outcome is unknown.
-func (b *tableBackend) write(ctx context.Context, version uint64, write store.Write) error {
+func (b *tableBackend) write(ctx context.Context, version store.Position, write store.Write) error {
 	select {
 	case err := <-b.writer.submit(version, write):
 		return err
@@ -140,7 +140,7 @@
 }
 
 // read returns a claim's row with its version, or nil and 0 if there is no row.
-func (b *tableBackend) read(ctx context.Context, key string) (*claim.Row, uint64, error) {
+func (b *tableBackend) read(ctx context.Context, key string) (*claim.Row, store.Position, error) {
 	stored, err := b.table.Get(ctx, key)
 	if errors.Is(err, store.ErrNotFound) {
 		return nil, 0, nil
--- a/mesh/claim/writer.go
+++ b/mesh/claim/writer.go
@@ -27,7 +27,7 @@
 
 // pendingWrite is a queued write on the condition that the row still has the version.
 type pendingWrite struct {
-	version uint64
+	version store.Position
 	write   store.Write
 	result  chan error // buffered, receives one value
 }
@@ -38,7 +38,7 @@
 
 // submit queues a write on the condition that the row still has the version. The channel receives
 // nil or one of the errors of store.Table.
-func (w *writer) submit(version uint64, write store.Write) <-chan error {
+func (w *writer) submit(version store.Position, write store.Write) <-chan error {
 	pending := &pendingWrite{version: version, write: write, result: make(chan error, 1)}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/mesh/controller/advance.go
+++ b/mesh/controller/advance.go
@@ -23,6 +23,7 @@
 	}
 	next.Epoch, _ = r.lease.Held()
 	next.Controller = r.controller.config.Host
+	next.Order = r.inForce.Load().Order
 	if err := r.writeStep(ctx, next, actions[0], evidence); err != nil {
 		return steperr.Wrap(err, fmt.Sprintf("write step %s of the move of %s", next.Step, next.Service), storePeerName)
 	}
--- a/mesh/controller/controller_test.go
+++ b/mesh/controller/controller_test.go
@@ -279,6 +279,14 @@
 			h.lostResponses = 5
 			return all
 		}},
+		{"store comes back from a copy 3 s old", func(_ *is.I, h *harness, all []*Controller) []*Controller {
+			copied := h.Copy()
+			for range 3 {
+				h.tickSecond(0, all...)
+			}
+			h.Restore(copied)
+			return all
+		}},
 		{"a report of failures arrives late", func(_ *is.I, h *harness, all []*Controller) []*Controller {
 			late := h.report(400, 1)
 			for _, c := range all {
--- a/mesh/controller/runner.go
+++ b/mesh/controller/runner.go
@@ -31,7 +31,7 @@
 	lease      *lease.Candidate
 	ended      bool // no further steps
 	state      rollout.State
-	rowVersion uint64 // version of the rollout's row
+	rowVersion store.Position // version of the rollout's row
 	ticket     ticketRow
 	// loaded means that state, rowVersion and ticket hold the rows as this lease holder last read
 	// them; the compares of a step detect later changes.
--- a/mesh/ctl/overview.go
+++ b/mesh/ctl/overview.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 	"sassafrasnotch.example/mesh/admin"
 )
@@ -103,7 +104,7 @@
 			z.NewestApplied = &applied
 		}
 		if z.OldestApplied == nil || applied < *z.OldestApplied {
-			lag := o.LatestRevision - applied
+			lag := store.Position(applied).Behind(store.Position(o.LatestRevision))
 			z.OldestApplied, z.Lag = &applied, &lag
 		}
 	}
--- a/mesh/ctl/status.go
+++ b/mesh/ctl/status.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/subcommands"
 
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/admin"
 )
 
@@ -50,9 +51,9 @@
 }
 
 func (t *table) overview(o overview) {
-	t.row("ZONE", "DAEMONS", "ANSWERED", "NEWEST", "LOWEST", fmt.Sprintf("LAG BEHIND %d", o.LatestRevision))
+	t.row("ZONE", "DAEMONS", "ANSWERED", "NEWEST", "LOWEST", fmt.Sprintf("LAG BEHIND %s", store.Position(o.LatestRevision)))
 	for _, z := range o.Zones {
-		t.row(z.Zone, formatCounts(z.Status), z.Answered, orMissing(z.NewestApplied), orMissing(z.OldestApplied), orMissing(z.Lag))
+		t.row(z.Zone, formatCounts(z.Status), z.Answered, revisionOrMissing(z.NewestApplied), revisionOrMissing(z.OldestApplied), orMissing(z.Lag))
 	}
 	t.blankLine()
 	t.daemons(o.Daemons)
@@ -84,15 +85,24 @@
 	return fmt.Sprint(*value)
 }
 
+// revisionOrMissing formats a revision, with the era of the store if that is not the first one; nil is
+// missing.
+func revisionOrMissing(value *uint64) string {
+	if value == nil {
+		return missing
+	}
+	return store.Position(*value).String()
+}
+
 func (t *table) daemons(daemons []daemonOverview) {
 	t.row("DAEMON", "ZONE", "STATUS", "APPLIED", "AT", "PLATFORM", "SENT", "RECEIVED")
 	for _, d := range daemons {
 		if reported := d.OwnStatus; reported != nil {
-			t.row(d.Host, d.Zone, memberState(d.MemberStatus), reported.Applied, reported.AppliedAt.Format(time.RFC3339),
+			t.row(d.Host, d.Zone, memberState(d.MemberStatus), store.Position(reported.Applied), reported.AppliedAt.Format(time.RFC3339),
 				reachability(reported.PlatformReachable), reported.ControlBytes.Sent, reported.ControlBytes.Received)
 			continue
 		}
-		t.row(d.Host, d.Zone, memberState(d.MemberStatus), fmt.Sprintf("no answer from %s; last told %d", d.AdminAddress, d.Revision))
+		t.row(d.Host, d.Zone, memberState(d.MemberStatus), fmt.Sprintf("no answer from %s; last told %s", d.AdminAddress, store.Position(d.Revision)))
 	}
 }
 
--- a/mesh/source/follower.go
+++ b/mesh/source/follower.go
@@ -17,8 +17,8 @@
 	name    string // for log lines
 	logger  *zap.Logger
 	read    func(context.Context) (C, error)
-	await   func(context.Context, uint64, time.Duration) (C, error)
-	through func(C) uint64 // version of the store from which to continue
+	await   func(context.Context, store.Position, time.Duration) (C, error)
+	through func(C) store.Position // from which to continue
 	apply   func(C)
 	// idle reports whether there is nothing to follow; nil means never.
 	idle func() bool
@@ -37,8 +37,8 @@
 
 	// copy tells how old the rows read are.
 	copy freshness.Copy
-	// after is the version of the store from which to continue.
-	after uint64
+	// after is the position of the store from which to continue.
+	after store.Position
 	// restart makes the next exchange a read of all rows.
 	restart bool
 	// initialized is set once all rows were read.
@@ -57,14 +57,14 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, errReread):
-			f.logger.Info("reading all rows without waiting for the change feed", zap.String("rows", f.name), zap.Uint64("after", f.after), zap.Error(err))
+			f.logger.Info("reading all rows without waiting for the change feed", zap.String("rows", f.name), zap.Stringer("after", f.after), zap.Error(err))
 			f.restart = true
 		case errors.Is(err, errOverdue):
 			f.logger.Info("no response from the change feed; asking again", zap.String("rows", f.name), zap.Duration("silence", f.silence()), zap.Error(err))
 			f.failures++
 			f.reportOverdue()
 		case errors.Is(err, store.ErrTrimmed):
-			f.logger.Info("change history of the store is trimmed; reading all rows", zap.String("rows", f.name), zap.Uint64("after", f.after))
+			f.logger.Info("change history of the store is trimmed; reading all rows", zap.String("rows", f.name), zap.Stringer("after", f.after), zap.Error(err))
 			f.restart = true
 		case err != nil:
 			f.failures++
--- a/mesh/source/handover.go
+++ b/mesh/source/handover.go
@@ -46,7 +46,7 @@
 func (s *rowState) heldVersions() *peerpb.RowsQuery {
 	query := new(peerpb.RowsQuery)
 	if s.configuration != nil {
-		query.Configuration = s.configuration.StoreVersion
+		query.Configuration = uint64(s.configuration.Position)
 	}
 	services := make(map[string]*peerpb.ServiceRows)
 	rowsOf := func(service string) *peerpb.ServiceRows {
@@ -57,10 +57,10 @@
 		return services[service]
 	}
 	for service, order := range s.orders {
-		rowsOf(service).Order = order.StoreVersion
+		rowsOf(service).Order = uint64(order.Position)
 	}
 	for service, row := range s.rollouts {
-		rowsOf(service).Move = row.StoreVersion
+		rowsOf(service).Move = uint64(row.Position)
 	}
 	slices.SortFunc(query.Services, func(a, b *peerpb.ServiceRows) int { return strings.Compare(a.Service, b.Service) })
 	return query
@@ -69,7 +69,7 @@
 // newerThan returns the rows that are newer than the versions that the query states.
 func (s *rowState) newerThan(query *peerpb.RowsQuery) rowSet {
 	var rows rowSet
-	if s.configuration != nil && s.configuration.StoreVersion > query.GetConfiguration() {
+	if s.configuration != nil && uint64(s.configuration.Position) > query.GetConfiguration() {
 		rows.Configuration = s.configuration
 	}
 	orders, rollouts := make(map[string]uint64), make(map[string]uint64)
@@ -77,12 +77,12 @@
 		orders[service.GetService()], rollouts[service.GetService()] = service.GetOrder(), service.GetMove()
 	}
 	for service, order := range s.orders {
-		if order.StoreVersion > orders[service] {
+		if uint64(order.Position) > orders[service] {
 			rows.Orders = append(rows.Orders, orderRow{order.RolloutOrder, order.observedAt})
 		}
 	}
 	for service, row := range s.rollouts {
-		if row.StoreVersion <= rollouts[service] {
+		if uint64(row.Position) <= rollouts[service] {
 			continue
 		}
 		rows.Rollouts = append(rows.Rollouts, row)
@@ -98,10 +98,10 @@
 
 // merge adds the rows of another daemon as if they had been read from the store. If any is not valid,
 // it returns an error, keeps the present one and still adds the other rows.
-func (s *rowState) merge(rows rowSet) error {
+func (s *rowState) merge(rows rowSet, now time.Time) error {
 	var problems []error
 	if rows.Configuration != nil {
-		problems = append(problems, s.addConfiguration(*rows.Configuration))
+		problems = append(problems, s.addConfiguration(*rows.Configuration, now))
 	}
 	for _, order := range rows.Orders {
 		s.addOrder(order.RolloutOrder, order.ObservedAt)
--- a/mesh/source/row_state.go
+++ b/mesh/source/row_state.go
@@ -7,16 +7,22 @@
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/rollout"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 )
 
 // rowState holds the newest known rows of the store. Rows may be added in any order and any number
-// of times: the result is the latest state, and no row is replaced by an older one. A rowState
-// performs no I/O and is not safe for concurrent use.
+// of times: the result is the latest state, and no row is replaced by an older one. What a store that
+// comes back from an older copy no longer has stays in force until it is written again or superseded
+// (see restored.go). A rowState performs no I/O and is not safe for concurrent use.
 type rowState struct {
 	configuration *Configuration
-	orders        map[string]observedOrder // by service
-	rollouts      map[string]RolloutRow    // by service, the newest of each
+	// outdated is the configuration with a lower number that a later era has, nil if there is none.
+	outdated *outdatedConfiguration
+	orders   map[string]observedOrder // by service
+	// formerOrders are the orders that later ones have replaced, by service, the latest last.
+	formerOrders map[string][]RolloutOrder
+	rollouts     map[string]RolloutRow // by service, the newest of each
 	// barred holds the versions that were rolled back, by service.
 	barred map[string]map[string]bool
 	settle time.Duration // Timing.Settle
@@ -34,29 +40,37 @@
 // newRowState returns a state without rows.
 func newRowState(settle time.Duration) *rowState {
 	return &rowState{
-		settle:   settle,
-		orders:   make(map[string]observedOrder),
-		rollouts: make(map[string]RolloutRow),
-		barred:   make(map[string]map[string]bool),
+		settle:       settle,
+		orders:       make(map[string]observedOrder),
+		formerOrders: make(map[string][]RolloutOrder),
+		rollouts:     make(map[string]RolloutRow),
+		barred:       make(map[string]map[string]bool),
 	}
 }
 
 // addConfiguration replaces the configuration by a newer one. It ignores rows that are not newer in
 // the store. If the version is not higher or any part is invalid, it returns an error and keeps
 // the present configuration.
-func (s *rowState) addConfiguration(next Configuration) error {
+func (s *rowState) addConfiguration(next Configuration, now time.Time) error {
 	present := s.configuration
-	if present != nil && next.StoreVersion <= present.StoreVersion {
-		return nil // not newer in the store
-	}
-	if present != nil && next.Number <= present.Number {
-		return fmt.Errorf("version %d is not higher than the present version %d", next.Number, present.Number)
+	if present != nil {
+		switch {
+		case next.Position <= present.Position:
+			return nil // not newer in the store
+		case next.Position.Era() > present.Position.Era():
+			if !s.supersedes(&next, now) {
+				return nil
+			}
+		case next.Number <= present.Number:
+			return fmt.Errorf("version %d is not higher than the present version %d", next.Number, present.Number)
+		}
 	}
 	s.configuration = &next
 	if _, err := s.snapshot(); err != nil {
 		s.configuration = present
 		return err
 	}
+	s.outdated = nil
 	s.changed = true
 	return nil
 }
@@ -64,10 +78,30 @@
 // addOrder adds an order that was observed at a time, and reports whether it is newer than the
 // present one of its service.
 func (s *rowState) addOrder(next RolloutOrder, observedAt time.Time) bool {
-	if present, ok := s.orders[next.Service]; ok && present.StoreVersion >= next.StoreVersion {
+	present, ok := s.orders[next.Service]
+	if ok && present.Position >= next.Position {
 		return false
 	}
+	if ok && next.Position.Era() > present.Position.Era() {
+		if s.isFormerOrder(&next) {
+			return false
+		}
+		if present.isSame(&next) {
+			present.Position = next.Position
+			s.orders[next.Service] = present
+			s.recordWrittenAgain(next.Service)
+			s.changed = true
+			return false
+		}
+	}
+	if ok {
+		s.rememberOrder(present.RolloutOrder)
+	}
+	if next.Ticket == 0 {
+		next.Ticket = uint64(next.Position)
+	}
 	s.orders[next.Service] = observedOrder{RolloutOrder: next, observedAt: observedAt}
+	s.linkTicket(next.Service)
 	s.changed = true
 	return true
 }
@@ -75,13 +109,18 @@
 // addRollout adds the row of a rollout if it is newer than the present one of its service. If the row is
 // not valid, it returns an error and keeps the present one: no snapshot could be composed any more.
 func (s *rowState) addRollout(row RolloutRow) error {
-	if present, ok := s.rollouts[row.Service]; ok && present.StoreVersion >= row.StoreVersion {
+	present, ok := s.rollouts[row.Service]
+	if ok && present.Position >= row.Position {
 		return nil
 	}
 	if err := row.Validate(); err != nil {
 		return err
 	}
+	if ok && row.Position.Era() > present.Position.Era() && s.isOlderState(&row, &present) {
+		return nil
+	}
 	s.rollouts[row.Service] = row
+	s.linkTicket(row.Service)
 	s.changed = true
 	if row.Verdict == ticket.RolledBack {
 		s.bar(row.Service, row.To)
@@ -101,7 +140,7 @@
 func (s *rowState) rolloutRunning() bool {
 	for service, order := range s.orders {
 		row, ok := s.rollouts[service]
-		if !ok || row.Ticket < order.StoreVersion || row.Verdict == ticket.Running {
+		if !ok || row.Ticket < order.Ticket || row.Verdict == ticket.Running {
 			return true
 		}
 	}
@@ -114,7 +153,7 @@
 	if s.configuration == nil {
 		return nil, nil
 	}
-	newest := s.configuration.StoreVersion
+	newest := s.configuration.Position
 	resources := []revision.Resource{{Limits: &s.configuration.Limits}}
 	for i := range s.configuration.Services {
 		service := &s.configuration.Services[i]
@@ -128,21 +167,21 @@
 	for i := range s.configuration.Routes {
 		resources = append(resources, revision.Resource{Route: &s.configuration.Routes[i]})
 	}
-	return revision.NewSnapshot(newest, s.configuration.Number, resources)
+	return revision.NewSnapshot(uint64(newest), s.configuration.Number, resources)
 }
 
 // revisions returns the newest store versions of the rows of operators and of those of rollouts. The two
 // are read separately, so that a host may have the newer ones of one kind and the older ones of the
 // other. latest is the revision of the snapshot.
 func (s *rowState) revisions(latest uint64) gossip.Revisions {
-	revisions := gossip.Revisions{Latest: latest, Configuration: s.configuration.StoreVersion}
+	configuration, rollouts := s.configuration.Position, store.Position(0)
 	for _, order := range s.orders {
-		revisions.Configuration = max(revisions.Configuration, order.StoreVersion)
+		configuration = max(configuration, order.Position)
 	}
 	for _, row := range s.rollouts {
-		revisions.Rollouts = max(revisions.Rollouts, row.StoreVersion)
+		rollouts = max(rollouts, row.Position)
 	}
-	return revisions
+	return gossip.Revisions{Latest: latest, Configuration: uint64(configuration), Rollouts: uint64(rollouts)}
 }
 
 // namedVersion returns the version that a split names beside AnyVersion.
@@ -160,21 +199,24 @@
 
 // split returns the traffic split of a service with the store version of the newest row that it is
 // derived from, 0 if there is none.
-func (s *rowState) split(service string) (*revision.Split, uint64) {
+func (s *rowState) split(service string) (*revision.Split, store.Position) {
 	split := revision.Split{
 		Service: service,
 		Shares:  []revision.Share{{Version: revision.AnyVersion, Weight: revision.FullShare}},
 	}
 	row, hasRollout := s.rollouts[service]
-	newest := row.StoreVersion
+	newest := row.Position
 	if order, ok := s.orders[service]; ok {
-		newest = max(newest, order.StoreVersion)
-		if !hasRollout || row.Ticket < order.StoreVersion {
+		newest = max(newest, order.Position)
+		if !hasRollout || row.Ticket < order.Ticket {
 			row.State, hasRollout = order.initialState(s.settle), true
 		}
 	}
 	if hasRollout && row.Verdict != ticket.RolledBack {
 		split = row.Split()
+		if order, ok := s.orders[service]; ok && split.Rollout != nil {
+			split.Rollout.Order = order.writtenAgainAt()
+		}
 	}
 	for version := range s.barred[service] {
 		if split.Rollout == nil || split.Rollout.To != version {
@@ -189,7 +231,7 @@
 // controller's row replaces it.
 func (o *observedOrder) initialState(settle time.Duration) rollout.State {
 	return rollout.NewState(o.Service, revision.Rollout{
-		Ticket: o.StoreVersion, From: revision.AnyVersion, To: o.Version,
+		Ticket: o.Ticket, From: revision.AnyVersion, To: o.Version,
 		Target: revision.FullShare, By: o.observedAt.Add(o.Within), Settle: revision.Duration(settle),
 	}, revision.PreferBounded, o.observedAt)
 }
--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -17,6 +17,7 @@
 	"sassafrasnotch.example/coord/freshness"
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/readers"
 )
 
@@ -64,6 +65,7 @@
 	state         *rowState     // guarded by mu
 	changed       chan struct{} // closed at the next change of the state; guarded by mu
 	encoded       encodedRows   // guarded by mu
+	era           uint64        // latest era of the store that was read or heard of, 0 at first; guarded by mu
 	onApply       []func(*revision.Snapshot)
 	applied       atomic.Pointer[appliedSnapshot]
 	lastRejection atomic.Pointer[string]
@@ -198,7 +200,7 @@
 		logger:        s.logger,
 		read:          s.readAll,
 		await:         s.operator.Await,
-		through:       func(c OperatorChanges) uint64 { return c.Through },
+		through:       func(c OperatorChanges) store.Position { return c.Through },
 		apply:         s.applyOperator,
 		idle:          s.idle,
 		confirm:       s.recordResponse,
@@ -247,7 +249,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, order := range orders {
-		if held, ok := s.state.orders[order.Service]; !ok || held.StoreVersion < order.StoreVersion {
+		if held, ok := s.state.orders[order.Service]; !ok || held.Position < order.Position {
 			return false
 		}
 	}
@@ -262,7 +264,7 @@
 		logger:        s.logger,
 		read:          s.rollouts.ReadRollouts,
 		await:         s.rollouts.AwaitRollouts,
-		through:       func(c RolloutChanges) uint64 { return c.Through },
+		through:       func(c RolloutChanges) store.Position { return c.Through },
 		apply:         s.applyRollouts,
 		idle:          func() bool { return s.idle() || !s.rolloutRunning() },
 		confirm:       func(time.Time) {},
@@ -331,20 +333,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, invalid := range changes.Invalid {
-		s.reject(invalid.Key, invalid.StoreVersion, invalid.Cause)
+		s.reject(invalid.Key, invalid.Position, invalid.Cause)
 	}
 	for _, configuration := range changes.Configurations {
-		if err := s.state.addConfiguration(configuration); err != nil {
-			s.reject("configuration", configuration.StoreVersion, err)
+		if err := s.state.addConfiguration(configuration, time.Now()); err != nil {
+			s.reject("configuration", configuration.Position, err)
 		}
 	}
 	for _, order := range changes.Orders {
 		if s.state.addOrder(order, s.operator.Now()) {
 			s.logger.Info("rollout ordered", zap.String("service", order.Service),
 				zap.String("version", order.Version), zap.Duration("within", order.Within),
-				zap.Uint64("ticket", order.StoreVersion))
+				zap.Uint64("ticket", uint64(order.Position)))
 		}
 	}
+	if s.state.expireOutdated(time.Now()) {
+		s.logger.Warn("configuration of a former era of the store not written again; that of the store applies")
+	}
+	if s.observeEra(changes.Through.Era()) {
+		signal(s.resumeRollouts)
+	}
 	s.publish(originStore)
 	if s.state.rolloutRunning() {
 		signal(s.resumeRollouts)
@@ -356,21 +364,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, invalid := range changes.Invalid {
-		s.reject(invalid.Key, invalid.StoreVersion, invalid.Cause)
+		s.reject(invalid.Key, invalid.Position, invalid.Cause)
 	}
 	for _, row := range changes.Rollouts {
 		if err := s.state.addRollout(row); err != nil {
-			s.reject("rollout of "+row.Service, row.StoreVersion, err)
+			s.reject("rollout of "+row.Service, row.Position, err)
 		}
 	}
 	s.publish(originStore)
 }
 
 // reject records and logs that a row can't be applied.
-func (s *Source) reject(key string, storeVersion uint64, cause error) {
+func (s *Source) reject(key string, position store.Position, cause error) {
 	text := key + ": " + cause.Error()
 	s.lastRejection.Store(&text)
-	s.logger.Warn("row rejected", zap.String("key", key), zap.Uint64("revision", storeVersion), zap.Error(cause))
+	s.logger.Warn("row rejected", zap.String("key", key), zap.Uint64("revision", uint64(position)), zap.Error(cause))
 }
 
 // originStore is the origin in log lines of a snapshot that was read from the store.
@@ -387,13 +395,14 @@
 	s.encoded = encodedRows{}
 	next, err := s.state.snapshot()
 	if err != nil {
-		s.reject("configuration", s.state.configuration.StoreVersion, err)
+		s.reject("configuration", s.state.configuration.Position, err)
 		return
 	}
 	if next == nil {
 		return // no configuration yet
 	}
 	s.state.changed = false
+	s.observeEra(store.Position(next.Revision()).Era())
 	revisions := s.state.revisions(next.Revision())
 	s.applied.Store(&appliedSnapshot{snapshot: next, revisions: revisions, at: time.Now()})
 	s.members.SetRevisions(revisions)
--- a/mesh/source/source_test.go
+++ b/mesh/source/source_test.go
@@ -25,7 +25,7 @@
 // RolloutReader.
 type fakeStore struct {
 	mu       sync.Mutex
-	version  uint64
+	version  store.Position
 	changes  OperatorChanges
 	rollouts RolloutChanges
 	changed  chan struct{} // closed at the next write
@@ -43,7 +43,7 @@
 func newFakeStore() *fakeStore { return &fakeStore{changed: make(chan struct{})} }
 
 // write makes a change at the next version and wakes the waiting calls of Await.
-func (r *fakeStore) write(change func(version uint64)) {
+func (r *fakeStore) write(change func(version store.Position)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version++
@@ -55,14 +55,14 @@
 
 // configure writes a configuration with a route for each prefix.
 func (r *fakeStore) configure(number uint64, prefixes ...string) {
-	r.write(func(version uint64) {
+	r.write(func(version store.Position) {
 		r.changes.Configurations = []Configuration{configuration(number, version, prefixes...)}
 	})
 }
 
 // configuration returns a configuration with a route for each prefix.
-func configuration(number, storeVersion uint64, prefixes ...string) Configuration {
-	c := Configuration{Number: number, StoreVersion: storeVersion, Services: []revision.Service{{Name: "desk"}}}
+func configuration(number uint64, position store.Position, prefixes ...string) Configuration {
+	c := Configuration{Number: number, Position: position, Services: []revision.Service{{Name: "desk"}}}
 	for _, prefix := range prefixes {
 		c.Routes = append(c.Routes, revision.Route{Name: prefix, Service: "desk", Prefix: prefix})
 	}
@@ -85,7 +85,7 @@
 	return changes, nil
 }
 
-func (r *fakeStore) Await(ctx context.Context, after uint64, wait time.Duration) (OperatorChanges, error) {
+func (r *fakeStore) Await(ctx context.Context, after store.Position, wait time.Duration) (OperatorChanges, error) {
 	r.mu.Lock()
 	changes, changed, trimmed, delay := r.changes, r.changed, r.trimmed, r.delay
 	r.trimmed = false
@@ -152,7 +152,7 @@
 	return r.rollouts, nil
 }
 
-func (r *fakeStore) AwaitRollouts(ctx context.Context, after uint64, wait time.Duration) (RolloutChanges, error) {
+func (r *fakeStore) AwaitRollouts(ctx context.Context, after store.Position, wait time.Duration) (RolloutChanges, error) {
 	_, err := r.Await(ctx, after, wait)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -270,7 +270,7 @@
 	r.version++
 	r.changes = OperatorChanges{Through: r.version, Configurations: []Configuration{configuration(5, r.version, "/a/")}}
 	r.mu.Unlock() // without waking the waiting calls of Await
-	s.ObserveRevision(reportOf(r.version, "other"))
+	s.ObserveRevision(reportOf(uint64(r.version), "other"))
 	eventually(t, "the next configuration", func() bool { return s.number() == 5 })
 }
 
@@ -286,7 +286,7 @@
 	time.Sleep(s.applyFraction(startPauseFraction))
 	for number := uint64(5); number < 12; number++ {
 		r.configure(number, "/a/")
-		s.ObserveRevision(reportOf(r.version, "other"))
+		s.ObserveRevision(reportOf(uint64(r.version), "other"))
 		time.Sleep(100 * time.Millisecond)
 	}
 	eventually(t, "the last configuration", func() bool { return s.number() == 11 })
@@ -302,8 +302,8 @@
 	r := newFakeStore()
 	r.configure(4, "/a/")
 	s := New(Self{}, r, r, noMembers{}, nil, Timing{ApplyWithin: time.Second}, zap.NewNop())
-	order := func(version uint64) RolloutOrder {
-		return RolloutOrder{Service: "desk", Version: "v2", Within: time.Minute, StoreVersion: version}
+	order := func(version store.Position) RolloutOrder {
+		return RolloutOrder{Service: "desk", Version: "v2", Within: time.Minute, Position: version}
 	}
 	for _, c := range []struct {
 		orders []RolloutOrder
@@ -322,30 +322,30 @@
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	is := is.New(t)
 	state := newRowState(time.Second)
-	is.NoErr(state.addConfiguration(configuration(7, 20, "/a/")))
-	is.NoErr(state.addConfiguration(configuration(7, 20, "/a/"))) // the same row again
-	is.NoErr(state.addConfiguration(configuration(9, 10, "/b/"))) // an older row
+	is.NoErr(state.addConfiguration(configuration(7, 20, "/a/"), time.Time{}))
+	is.NoErr(state.addConfiguration(configuration(7, 20, "/a/"), time.Time{})) // the same row again
+	is.NoErr(state.addConfiguration(configuration(9, 10, "/b/"), time.Time{})) // an older row
 	is.Equal(state.configuration.Number, uint64(7))
-	is.True(state.addConfiguration(configuration(6, 30, "/b/")) != nil) // a lower number in a newer row
+	is.True(state.addConfiguration(configuration(6, 30, "/b/"), time.Time{}) != nil) // a lower number in a newer row
 	is.Equal(state.configuration.Number, uint64(7))
 	broken := configuration(8, 40, "/b/")
 	broken.Routes[0].Service = "nobody"
-	is.True(errors.Is(state.addConfiguration(broken), revision.ErrInvalid))
+	is.True(errors.Is(state.addConfiguration(broken, time.Time{}), revision.ErrInvalid))
 	is.Equal(state.configuration.Number, uint64(7)) // no part of it is applied
-	is.NoErr(state.addConfiguration(configuration(8, 50, "/b/")))
+	is.NoErr(state.addConfiguration(configuration(8, 50, "/b/"), time.Time{}))
 	snapshot, err := state.snapshot()
 	is.NoErr(err)
 	is.Equal(snapshot.Revision(), uint64(50))
 }
 
-func orderOf(version string, storeVersion uint64) RolloutOrder {
-	return RolloutOrder{Service: "desk", Version: version, Within: 12 * time.Second, StoreVersion: storeVersion}
+func orderOf(version string, position store.Position) RolloutOrder {
+	return RolloutOrder{Service: "desk", Version: version, Within: 12 * time.Second, Position: position}
 }
 
-func rolloutOf(to string, number uint64, share int, verdict ticket.Verdict, storeVersion uint64) RolloutRow {
+func rolloutOf(to string, number uint64, share int, verdict ticket.Verdict, position store.Position) RolloutRow {
 	state := rollout.NewState("desk", revision.Rollout{Ticket: number, From: revision.AnyVersion, To: to}, revision.PreferBounded, time.Time{})
 	state.Share, state.Verdict = share, verdict
-	return RolloutRow{State: state, StoreVersion: storeVersion}
+	return RolloutRow{State: state, Position: position}
 }
 
 func TestSplitFollowsOrdersAndRollouts(t *testing.T) {
@@ -391,7 +391,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			state := newRowState(time.Second)
-			is.NoErr(state.addConfiguration(configuration(1, 1, "/a/")))
+			is.NoErr(state.addConfiguration(configuration(1, 1, "/a/"), time.Time{}))
 			c.change(state)
 			snapshot, err := state.snapshot()
 			is.NoErr(err)
--- a/mesh/source/zone_reader.go
+++ b/mesh/source/zone_reader.go
@@ -11,6 +11,7 @@
 
 	"sassafrasnotch.example/coord/freshness"
 	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 	"sassafrasnotch.example/mesh/readers"
 	"sassafrasnotch.example/mesh/steperr"
@@ -107,7 +108,7 @@
 		wait, timeout := s.bounds.Poll(s.Age(), relays)
 		reply, err := s.pullRows(ctx, reader, wait, timeout)
 		retryDelay := failedReaderTimeout
-		if err == nil && (!reply.GetCurrent() || replyAge(reply) > s.bounds.FollowLimit(relays)) {
+		if err == nil && (!s.isUsable(reply) || replyAge(reply) > s.bounds.FollowLimit(relays)) {
 			err, retryDelay = errNotCurrent, readerRetryInterval
 		}
 		if err == nil {
@@ -186,6 +187,17 @@
 	}
 }
 
+// isUsable reports whether the rows of another daemon are current. One of a release that states no ages
+// knows no eras of the store either: once the store has begun a second one, its word does not count.
+func (s *Source) isUsable(reply *peerpb.RowsReply) bool {
+	if !reply.GetCurrent() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return reply.AgeMillis != nil || s.era <= store.FirstEra
+}
+
 // replyAge returns the age of the rows of another daemon. The reply of an older release states none; its
 // rows count as new if it says that they are current.
 func replyAge(reply *peerpb.RowsReply) time.Duration {
@@ -212,7 +224,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.state.merge(rows); err != nil {
+	if err := s.state.merge(rows, time.Now()); err != nil {
 		s.reject("rows of "+host, 0, err)
 	}
 	s.publish(host)
--- a/mesh/source/zone_reader_test.go
+++ b/mesh/source/zone_reader_test.go
@@ -86,7 +86,7 @@
 	return l.fakeStore.Read(ctx)
 }
 
-func (l *link) Await(ctx context.Context, after uint64, wait time.Duration) (OperatorChanges, error) {
+func (l *link) Await(ctx context.Context, after store.Position, wait time.Duration) (OperatorChanges, error) {
 	if err := l.failure(ctx); err != nil {
 		return OperatorChanges{}, err
 	}
@@ -304,7 +304,7 @@
 func TestDamagedRowsAreNotTaken(t *testing.T) {
 	is := is.New(t)
 	state := newRowState(time.Second)
-	is.NoErr(state.addConfiguration(configuration(4, 9, "/a/")))
+	is.NoErr(state.addConfiguration(configuration(4, 9, "/a/"), time.Time{}))
 	state.addRollout(rolloutOf("v2", 5, 500, ticket.Running, 6))
 	rows := state.newerThan(new(peerpb.RowsQuery))
 	data, err := rows.encode()
@@ -347,7 +347,7 @@
 		for i := range states {
 			states[i] = newRowState(time.Second)
 		}
-		written := uint64(0)
+		written := store.Position(0)
 		steps := rapid.IntRange(5, 40).Draw(t, "steps")
 		for range steps {
 			from := states[rapid.IntRange(0, hosts-1).Draw(t, "from")]
@@ -355,7 +355,7 @@
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0:
 				written++
-				if err := to.addConfiguration(configuration(written, written, "/a/")); err != nil {
+				if err := to.addConfiguration(configuration(uint64(written), written, "/a/"), time.Time{}); err != nil {
 					t.Fatal(err)
 				}
 			case 1:
@@ -364,10 +364,10 @@
 			case 2:
 				written++
 				verdict := rapid.SampledFrom([]ticket.Verdict{ticket.Running, ticket.Completed, ticket.RolledBack}).Draw(t, "verdict")
-				to.addRollout(rolloutOf(fmt.Sprint("v", written), written, 500, verdict, written))
+				to.addRollout(rolloutOf(fmt.Sprint("v", written), uint64(written), 500, verdict, written))
 			default:
 				held := to.heldVersions()
-				if err := to.merge(from.newerThan(held)); err != nil {
+				if err := to.merge(from.newerThan(held), time.Time{}); err != nil {
 					t.Fatal(err)
 				}
 				if rows := from.newerThan(to.heldVersions()); !rows.empty() {
@@ -401,6 +401,6 @@
 	state.addRollout(rolloutOf("v2", 5, 0, ticket.RolledBack, 9))
 	state.addRollout(rolloutOf("v3", 10, 500, ticket.Running, 11))
 	late := newRowState(time.Second)
-	is.NoErr(late.merge(state.newerThan(late.heldVersions())))
+	is.NoErr(late.merge(state.newerThan(late.heldVersions()), time.Time{}))
 	is.True(late.barred["desk"]["v2"])
 }
--- a/mesh/standin/platformserver/tables.go
+++ b/mesh/standin/platformserver/tables.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/platform/wire"
 )
 
@@ -36,7 +37,7 @@
 }
 
 func newTables() *tables {
-	return &tables{started: time.Now(), era: 1, rows: make(map[rowKey]wire.Row), changed: make(chan struct{})}
+	return &tables{started: time.Now(), era: store.FirstEra, rows: make(map[rowKey]wire.Row), changed: make(chan struct{})}
 }
 
 // nowMs returns the store's monotonic clock in milliseconds.
