Write the verdicts and host rows again that a restored store has lost

A second verdict against the first would stop the workers that serve everything: at the first one the others had ended.

Cause: what only the system itself writes is written once, and nobody looked whether it is still there.

Daemons that read the store read the rows of rollouts as a whole when its era changes, and write each verdict that is not there again, with ticket and status, under the condition that the row read is still in its place; one of them succeeds, and a further read shows the result. Each daemon writes its host row, with departures and incarnation, again within 2 s. A daemon that starts in the new era finds the ticket of the order in the row.

TestVerdictOfARolloutOutlivesARestoreOfTheStore failed on the code before with real processes (no status within 7 s).

--- a/integration/platform_restored_test.go
+++ b/integration/platform_restored_test.go
@@ -1,6 +1,9 @@
 package integration
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"testing"
@@ -9,6 +12,8 @@
 	"github.com/matryer/is"
 
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/rollout"
+	"sassafrasnotch.example/coord/ticket"
 	"sassafrasnotch.example/mesh/standin/platformserver"
 	"sassafrasnotch.example/platform/wire"
 )
@@ -62,3 +67,34 @@
 	p.WriteOperatorRow(wire.KeyConfig, testConfig(10+lost, routeNamed("lost"), routeNamed("next")))
 	p.awaitRoute("next")
 }
+
+func TestVerdictOfARolloutOutlivesARestoreOfTheStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	p := startPlatformCluster(t)
+	load := p.startTraffic(rolloutCallers)
+	copied := time.Now()
+	p.WriteOperatorRow(wire.PrefixRollout+"desk", wire.Rollout{Service: "desk", Target: "v2", DurationS: rolloutWithin.Seconds()})
+	p.startNewVersion("v2", true)
+	rolledBack := func() error {
+		status, err := p.RolloutState("desk")
+		if err == nil && status.State != wire.RolloutRolledBack {
+			err = errors.New("the state is " + status.State)
+		}
+		return err
+	}
+	p.eventually(rolloutWithin, "the rollout is rolled back", rolledBack)
+	load.finish()
+	p.restore(copied)
+	p.eventually(rolloutWithin/2, "the verdict is reported again", rolledBack)
+	row, err := p.PlatformClient().Get(context.Background(), rollout.Key("desk"))
+	is.NoErr(err)
+	state, err := rollout.Decode(row.Value)
+	is.NoErr(err)
+	is.Equal(state.Verdict, ticket.RolledBack)
+	is.Equal(row.Version.Era(), uint64(2))
+	is.True(state.Order != 0) // the order has a new position; the ticket is that of the first one
+	data, err := json.Marshal(state)
+	is.NoErr(err)
+	t.Logf("%s at %s", data, row.Version)
+}
--- a/mesh/daemon/hosts.go
+++ b/mesh/daemon/hosts.go
@@ -31,6 +31,7 @@
 	hostTimeout           = 3 * time.Second  // of an exchange
 	bootstrapInterval     = 5 * time.Second  // between scans while no other member is known
 	maxDeletesPerExchange = 16               // expired rows
+	restoreSpread         = 2 * time.Second
 	// departureDelay is the time for which a departure waits for others that share the write.
 	departureDelay = 50 * time.Millisecond
 )
@@ -82,6 +83,17 @@
 	return h
 }
 
+// writeAgain writes the row of this host again within restoreSpread: the store came back from a copy that
+// may not have it. The writes of all hosts are spread over that time.
+func (h *hostRows) writeAgain() {
+	time.AfterFunc(rand.N(restoreSpread), func() {
+		select {
+		case h.changed <- struct{}{}:
+		default:
+		}
+	})
+}
+
 // run refreshes the row of this host and bootstraps the membership until the context ends.
 func (h *hostRows) run(ctx context.Context, members *membership.Membership) {
 	backoff := hostRetryDelay
--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -128,6 +128,9 @@
 	l.Members.OnChange(newMemberLog(l.Logger.Named("membership")).logChanges)
 	l.Members.OnNewerRevision(l.Configuration.ObserveRevision)
 	l.Members.OnUpdate(l.Updates.apply)
+	if restorable, ok := l.Configuration.(interface{ OnRestored(func()) }); ok {
+		restorable.OnRestored(l.Hosts.writeAgain)
+	}
 }
 
 // startBackground starts the background work, which runs until cancel is called.
--- a/mesh/daemon/rollouts.go
+++ b/mesh/daemon/rollouts.go
@@ -35,7 +35,8 @@
 			Logger:      logger.Named("controller"),
 		}
 		if s.Configuration.Source == settings.SourceOperator {
-			log := source.NewLog(operator, backing, registrar.TicketKey)
+			log := source.NewLog(operator, backing, registrar.TicketKey, a.RolloutStatusWrites)
+			operator.SetVerdictRestorer(log)
 			config.Log = log
 			config.CreateTicket = log.CreateTicket
 			config.StepWrites = a.RolloutStatusWrites
--- a/mesh/source/log.go
+++ b/mesh/source/log.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/rollout"
 	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 	"sassafrasnotch.example/mesh/controller"
@@ -18,14 +19,20 @@
 	source    *Source
 	table     store.Table
 	ticketKey func(number uint64) string
-	now       func() time.Time
+	// statusWrites returns the writes that report the state of a rollout to operators.
+	statusWrites func(rollout.State) ([]store.Write, error)
+	now          func() time.Time
 }
 
-var _ controller.RevisionLog = (*Log)(nil)
+var (
+	_ controller.RevisionLog = (*Log)(nil)
+	_ VerdictRestorer        = (*Log)(nil)
+)
 
-// NewLog returns a log that writes to the table. ticketKey returns the key of a ticket's row.
-func NewLog(source *Source, table store.Table, ticketKey func(uint64) string) *Log {
-	return &Log{source: source, table: table, ticketKey: ticketKey, now: source.operator.Now}
+// NewLog returns a log that writes to the table. ticketKey returns the key of a ticket's row,
+// statusWrites the writes that report the state of a rollout to operators.
+func NewLog(source *Source, table store.Table, ticketKey func(uint64) string, statusWrites func(rollout.State) ([]store.Write, error)) *Log {
+	return &Log{source: source, table: table, ticketKey: ticketKey, statusWrites: statusWrites, now: source.operator.Now}
 }
 
 // Append implements controller.RevisionLog. It writes no resources and returns the latest revision
@@ -39,22 +46,42 @@
 
 // CreateTicket creates the ticket of a rollout. It returns nil if the ticket exists, since another
 // daemon may have created it.
-func (l *Log) CreateTicket(ctx context.Context, rollout controller.Rollout) error {
-	key := l.ticketKey(rollout.Ticket)
-	value, err := json.Marshal(ticket.Status{
-		Number: rollout.Ticket,
-		State:  ticket.Accepted,
-		Rollouts: []ticket.RolloutStatus{{
-			Service: rollout.Service, From: rollout.From, To: rollout.To, Verdict: ticket.Running,
-			Step: rollout.Step, By: rollout.By, At: l.now(),
-		}},
+func (l *Log) CreateTicket(ctx context.Context, r controller.Rollout) error {
+	write, err := l.ticketWrite(r.Ticket, ticket.RolloutStatus{
+		Service: r.Service, From: r.From, To: r.To, Verdict: ticket.Running,
+		Step: r.Step, By: r.By, At: l.now(),
 	})
 	if err != nil {
 		return err
 	}
-	err = l.table.Txn(ctx, []store.Compare{{Key: key}}, []store.Write{{Key: key, Value: value}})
+	err = l.table.Txn(ctx, []store.Compare{{Key: write.Key}}, []store.Write{write})
 	if errors.Is(err, store.ErrConflict) {
 		return nil
 	}
 	return err
 }
+
+// ticketWrite returns the write of a ticket of one rollout.
+func (l *Log) ticketWrite(number uint64, status ticket.RolloutStatus) (store.Write, error) {
+	value, err := json.Marshal(ticket.Status{Number: number, State: ticket.Accepted, Rollouts: []ticket.RolloutStatus{status}})
+	return store.Write{Key: l.ticketKey(number), Value: value}, err
+}
+
+// RestoreVerdict implements VerdictRestorer.
+func (l *Log) RestoreVerdict(ctx context.Context, state rollout.State, present store.Position) error {
+	value, err := rollout.Encode(state)
+	if err != nil {
+		return err
+	}
+	ticketRow, err := l.ticketWrite(state.Ticket, state.Status())
+	if err != nil {
+		return err
+	}
+	status, err := l.statusWrites(state)
+	if err != nil {
+		return err
+	}
+	key := rollout.Key(state.Service)
+	writes := append(status, ticketRow, store.Write{Key: key, Value: value})
+	return l.table.Txn(ctx, []store.Compare{{Key: key, Version: present}}, writes)
+}
--- a/mesh/source/restored.go
+++ b/mesh/source/restored.go
@@ -1,10 +1,12 @@
 package source
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/rollout"
 	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 )
@@ -14,6 +16,8 @@
 // the copy is gone until it is written again. The functions below decide on rows of a later era.
 
 const (
+	// restoreCheckInterval is the time between writing a lost verdict and the read that shows the result.
+	restoreCheckInterval = 500 * time.Millisecond
 	// outdatedHold is the time for which a configuration stays in force against one of a lower number
 	// that a later era has. An operator writes the lost one again in that time.
 	outdatedHold = 20 * time.Second
@@ -122,6 +126,43 @@
 	return (row.Ticket == present.Ticket || again) && present.Verdict != ticket.Running && row.Verdict == ticket.Running
 }
 
+// lostVerdicts returns the rollouts with a verdict that a complete read of the rows of rollouts in a
+// later era did not have, each with the position of the row in its place, 0 for none.
+func (s *rowState) lostVerdicts(read RolloutChanges) []lostVerdict {
+	found := make(map[string]store.Position)
+	for _, row := range read.Rollouts {
+		found[row.Service] = row.Position
+	}
+	var lost []lostVerdict
+	for service, row := range s.rollouts {
+		if row.Verdict != ticket.Running && row.Position.Era() < read.Through.Era() {
+			lost = append(lost, lostVerdict{row, found[service]})
+		}
+	}
+	return lost
+}
+
+// lostVerdict is the state of a rollout that the store has lost.
+type lostVerdict struct {
+	row RolloutRow
+	// present is the position of the row that the store has instead, 0 for none.
+	present store.Position
+}
+
+// VerdictRestorer writes the state of a rollout that has its verdict to the store again, with the status
+// that operators read, if the store has the row at the position in its place (0: none). The error is
+// store.ErrConflict if it has another one.
+type VerdictRestorer interface {
+	RestoreVerdict(ctx context.Context, state rollout.State, present store.Position) error
+}
+
+// SetVerdictRestorer sets what writes lost verdicts again. It must be called before Start.
+func (s *Source) SetVerdictRestorer(restorer VerdictRestorer) { s.restorer = restorer }
+
+// OnRestored registers a function that is called after the store came back from an older copy. It must
+// not block, and OnRestored must be called before Start.
+func (s *Source) OnRestored(notify func()) { s.onRestored = append(s.onRestored, notify) }
+
 // observeEra records an era of the store and reports whether the store began it after an earlier one
 // that was known here. The caller holds s.mu.
 func (s *Source) observeEra(era uint64) bool {
@@ -134,5 +175,31 @@
 		return false
 	}
 	s.logger.Warn("store came back from an older copy", zap.Uint64("era", era))
+	for _, notify := range s.onRestored {
+		notify()
+	}
 	return true
 }
+
+// restoreVerdicts writes the verdicts again that a complete read of the rows of rollouts did not have.
+// Each daemon that reads the store does so; one of them succeeds, and a further read shows the result.
+func (s *Source) restoreVerdicts(ctx context.Context, read RolloutChanges) {
+	if !read.Complete || s.restorer == nil {
+		return
+	}
+	s.mu.Lock()
+	lost := s.state.lostVerdicts(read)
+	s.mu.Unlock()
+	if len(lost) == 0 {
+		return
+	}
+	for _, verdict := range lost {
+		err := s.restorer.RestoreVerdict(ctx, verdict.row.State, verdict.present)
+		s.logger.Info("verdict that the store has lost written again", zap.String("service", verdict.row.Service),
+			zap.Uint64("ticket", verdict.row.Ticket), zap.String("verdict", string(verdict.row.Verdict)), zap.Error(err))
+	}
+	s.goroutines.Go(func() {
+		sleep(ctx, restoreCheckInterval)
+		signal(s.resumeRollouts)
+	})
+}
--- a/mesh/source/restored_test.go
+++ b/mesh/source/restored_test.go
@@ -1,12 +1,15 @@
 package source
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/coord/rollout"
 	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/coord/ticket"
 	"sassafrasnotch.example/mesh/peer/peerpb"
@@ -113,6 +116,11 @@
 	is.True(!state.rolloutRunning())
 	is.Equal(state.orders["desk"].Ticket, uint64(30))
 
+	lost := state.lostVerdicts(RolloutChanges{Through: at(2, 31), Complete: true})
+	is.Equal(len(lost), 1)
+	is.Equal(lost[0].present, store.Position(0))
+	is.Equal(lost[0].row.Order, uint64(at(2, 31)))
+
 	is.True(state.addOrder(orderAt("v3", at(2, 32)), time.Time{})) // a new one
 	is.True(state.orders["desk"].Ticket > 30)
 	is.True(state.rolloutRunning())
@@ -187,10 +195,13 @@
 	} {
 		is.NoErr(state.addRollout(older))
 		is.Equal(state.rollouts["desk"].Verdict, ticket.RolledBack)
+		lost := state.lostVerdicts(RolloutChanges{Through: older.Position, Rollouts: []RolloutRow{older}, Complete: true})
+		is.Equal(lost[0].present, older.Position)
 	}
 	restored := verdict
 	restored.Position = at(2, 35)
 	is.NoErr(state.addRollout(restored))
+	is.Equal(len(state.lostVerdicts(RolloutChanges{Through: at(2, 35), Rollouts: []RolloutRow{restored}, Complete: true})), 0)
 }
 
 func TestRunningRolloutGoesOnFromTheStepOfTheCopy(t *testing.T) {
@@ -200,6 +211,15 @@
 	is.NoErr(state.addRollout(rolloutOf("v2", 30, 2500, ticket.Running, at(1, 39))))
 	is.NoErr(state.addRollout(rolloutOf("v2", 30, 500, ticket.Running, at(2, 33))))
 	is.Equal(state.rollouts["desk"].Share, 500)
+	is.Equal(len(state.lostVerdicts(RolloutChanges{Through: at(2, 33), Complete: true})), 0)
+}
+
+// fakeRestorer records the verdicts that are written again.
+type fakeRestorer struct{ written chan rollout.State }
+
+func (r fakeRestorer) RestoreVerdict(_ context.Context, state rollout.State, _ store.Position) error {
+	r.written <- state
+	return nil
 }
 
 // restore makes the store come back with rows of a new era.
@@ -212,6 +232,38 @@
 	r.write(change)
 }
 
+func TestRestoredStoreIsFollowed(t *testing.T) {
+	is := is.New(t)
+	r := newFakeStore()
+	r.configure(4, "/a/")
+	s := newSource(r)
+	restored := make(chan struct{}, 1)
+	s.OnRestored(func() { restored <- struct{}{} })
+	restorer := fakeRestorer{make(chan rollout.State, 10)}
+	s.SetVerdictRestorer(restorer)
+	s.Start()
+	t.Cleanup(s.Stop)
+	eventually(t, "the first configuration", func() bool { return s.number() == 4 })
+	r.write(func(version store.Position) {
+		r.changes.Orders = []RolloutOrder{orderOf("v2", version)}
+		r.rollouts = RolloutChanges{Complete: true, Rollouts: []RolloutRow{rolloutOf("v2", uint64(version), 0, ticket.RolledBack, version)}}
+	})
+	eventually(t, "the verdict", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.state.rollouts) > 0 && !s.state.rolloutRunning()
+	})
+	r.restore(func(version store.Position) {
+		r.changes.Configurations = []Configuration{configuration(4, version, "/a/")}
+		r.changes.Orders = []RolloutOrder{orderOf("v2", version)}
+	})
+	<-restored
+	is.Equal((<-restorer.written).Verdict, ticket.RolledBack)
+	r.configure(5, "/a/", "/b/")
+	eventually(t, "the configuration of the new era", func() bool { return s.number() == 5 })
+	is.Equal(store.Position(s.Snapshot().Revision()).Era(), uint64(2))
+}
+
 func TestZoneHearsOfANewEraFromItsReaders(t *testing.T) {
 	r := newFakeStore()
 	r.configure(4, "/a/")
@@ -235,3 +287,19 @@
 	s.applyPeerRows(rowSet{Configuration: &Configuration{Number: 14, Position: 40, Services: []revision.Service{{Name: "desk"}}}}, "other")
 	is.Equal(s.number(), uint64(12))
 }
+
+func TestVerdictIsWrittenAgainOnlyInPlaceOfTheRowRead(t *testing.T) {
+	is := is.New(t)
+	table := store.NewMemory()
+	s := newSource(newFakeStore())
+	log := NewLog(s, table, func(uint64) string { return "ticket/30" }, func(rollout.State) ([]store.Write, error) {
+		return []store.Write{{Key: "status", Value: []byte("1")}}, nil
+	})
+	state := rolloutOf("v2", 30, 0, ticket.RolledBack, 39).State
+	is.NoErr(log.RestoreVerdict(t.Context(), state, 0))
+	for _, key := range []string{rollout.Key("desk"), "ticket/30", "status"} {
+		_, err := table.Get(t.Context(), key)
+		is.NoErr(err)
+	}
+	is.True(errors.Is(log.RestoreVerdict(t.Context(), state, 0), store.ErrConflict))
+}
--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -67,6 +67,8 @@
 	encoded       encodedRows   // guarded by mu
 	era           uint64        // latest era of the store that was read or heard of, 0 at first; guarded by mu
 	onApply       []func(*revision.Snapshot)
+	onRestored    []func()
+	restorer      VerdictRestorer
 	applied       atomic.Pointer[appliedSnapshot]
 	lastRejection atomic.Pointer[string]
 
@@ -260,12 +262,15 @@
 // sends no requests to the store.
 func (s *Source) followRollouts(ctx context.Context) {
 	f := follower[RolloutChanges]{
-		name:          "rollout rows",
-		logger:        s.logger,
-		read:          s.rollouts.ReadRollouts,
-		await:         s.rollouts.AwaitRollouts,
-		through:       func(c RolloutChanges) store.Position { return c.Through },
-		apply:         s.applyRollouts,
+		name:    "rollout rows",
+		logger:  s.logger,
+		read:    s.rollouts.ReadRollouts,
+		await:   s.rollouts.AwaitRollouts,
+		through: func(c RolloutChanges) store.Position { return c.Through },
+		apply: func(c RolloutChanges) {
+			s.applyRollouts(c)
+			s.restoreVerdicts(ctx, c)
+		},
 		idle:          func() bool { return s.idle() || !s.rolloutRunning() },
 		confirm:       func(time.Time) {},
 		reportOverdue: func() {},
