Answer what was read of a connection before a planned stop closes it

Reported by other operators: in a planned stop, requests that came late in the grace were taken, passed on and cut with no answer at its end. That form was not found: after 3 s a stopping daemon takes no request, and those taken before have half of the grace and more to end.

Cause: the response in front said that the connection closes, unless a further request had been started early; requests with a body are never, and net/http closes each connection behind the running response once its server shuts down.

The connection stays open while a further request has begun, which is then answered or refused; for that, the ends of messages with a stated length are known. The port closes after half a second as before, but the server shuts down only when no request is in flight, so that those behind are refused.

--- a/mesh/entry/callerconn.go
+++ b/mesh/entry/callerconn.go
@@ -26,8 +26,9 @@
 // connection. Once a further request has arrived, that read has ended. From then on the connection
 // reads ahead by itself: it cancels the request when the caller closes the connection, and starts
 // further requests early (see prefetch). For that, it hands net/http one message at a time for as
-// long as the caller sends requests without a body; after another one, it hands over all bytes
-// as they come, and reads ahead only to notice the close.
+// long as the caller sends requests without a body. After another one, it reads ahead only to notice
+// the close and whether a further request has begun; it still ends what it hands over with a message
+// where the end is stated, and hands over all bytes as they come where it is not.
 type countedConn struct {
 	net.Conn
 	entry     *Entry
@@ -44,10 +45,13 @@
 	cancel  context.CancelFunc // ends ctx
 	buffer  []byte             // read from the socket and not yet handed over
 	partial []byte             // handed over of the current message, which is incomplete
-	raw     bool               // the ends of messages are unknown
-	serving bool               // a request is served
-	reading bool               // readAhead runs
-	readErr error              // why readAhead ended, unless by a time-out
+	raw     bool               // a message had a body, or an unknown end
+	// remaining is the number of bytes of the current message that were not handed over, while raw; 0
+	// between messages and where the end is unknown.
+	remaining int
+	serving   bool  // a request is served
+	reading   bool  // readAhead runs
+	readErr   error // why readAhead ended, unless by a time-out
 	// prefetches are the requests started early, in the order in which net/http will read them.
 	prefetches []*prefetch
 	// ahead is the length of the messages of those prefetches that were not handed over whole.
@@ -121,18 +125,26 @@
 func (c *countedConn) handOver(p []byte) int {
 	limit := len(c.buffer)
 	end, form := len(c.partial)+limit, messageIncomplete
-	if !c.raw {
+	if c.raw {
+		limit = c.rawLimit()
+	} else {
 		end, form = c.message(0)
 	}
 	switch form {
 	case messageComplete:
 		limit = end - len(c.partial)
 	case messageOther:
-		c.raw, c.partial = true, nil
+		c.raw = true
+		if len(c.partial) > 0 {
+			c.partial = nil // the message has begun, its end is not looked for
+			break
+		}
+		limit = c.rawLimit()
 	}
 	n := copy(p, c.buffer[:limit])
 	switch {
 	case c.raw:
+		c.remaining = max(c.remaining-n, 0)
 	case form == messageComplete && n == limit:
 		c.partial = c.partial[:0]
 		c.ahead = max(c.ahead-end, 0)
@@ -146,6 +158,18 @@
 	return n
 }
 
+// rawLimit returns how many bytes of the buffer belong to the current message, or all if its end is
+// unknown. The caller holds mutex.
+func (c *countedConn) rawLimit() int {
+	if c.remaining == 0 {
+		c.remaining = sizedMessage(c.buffer)
+	}
+	if c.remaining == 0 {
+		return len(c.buffer)
+	}
+	return min(c.remaining, len(c.buffer))
+}
+
 // message returns the end and the form of the message that starts offset bytes after the start of
 // the current one. The caller holds mutex.
 func (c *countedConn) message(offset int) (end int, form messageForm) {
@@ -214,14 +238,15 @@
 }
 
 // startClosing reports whether the connection may be closed after the current response, and if so
-// keeps further requests from being started early. Those already started must be answered.
+// keeps further requests from being started early. A further request that was started or has been read
+// must be answered: its caller could not tell whether it ran.
 func (c *countedConn) startClosing() bool {
 	if c == nil {
 		return true
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if len(c.prefetches) > 0 {
+	if len(c.prefetches) > 0 || len(c.buffer) > 0 || len(c.partial) > 0 || c.remaining > 0 {
 		return false
 	}
 	c.closing = true
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -89,6 +89,8 @@
 	lastAttemptID atomic.Uint64
 	leaving       atomic.Bool
 	service       atomic.Pointer[string] // of this host
+	// serving is the number of callers' connections on which a request is served.
+	serving atomic.Int64
 	// keepAlivesDisabled is set from the start of a stop, while new requests are still served.
 	keepAlivesDisabled atomic.Bool
 }
@@ -158,6 +160,8 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	e.serving.Add(1)
+	defer e.serving.Add(-1)
 	conn := connOf(request.Context())
 	started := conn.beginServing(request)
 	defer conn.endServing()
--- a/mesh/entry/message.go
+++ b/mesh/entry/message.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"net"
+	"strconv"
+	"strings"
 )
 
 // messageForm is what is known about the message at the start of some bytes.
@@ -39,6 +41,37 @@
 	return len(head), messageComplete
 }
 
+// sizedMessage returns the length of the message at the start of data, whose head must be whole, if it has
+// no body or one of a stated length, else 0.
+func sizedMessage(data []byte) int {
+	end := bytes.Index(data, headEnd)
+	if end < 0 || !beginsWithMethod(data) {
+		return 0
+	}
+	head := data[:end+len(headEnd)]
+	length := 0
+	for line := range bytes.Lines(head[:end]) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch strings.ToLower(string(bytes.TrimSpace(name))) {
+		case "content-length":
+			parsed, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 31)
+			if err != nil {
+				return 0
+			}
+			length = int(parsed)
+		case "transfer-encoding", "upgrade", "expect":
+			return 0
+		}
+	}
+	return len(head) + length
+}
+
+// beginsWithMethod reports whether data begins with a word in upper case and a space.
+func beginsWithMethod(data []byte) bool {
+	method, _, found := bytes.Cut(data, []byte(" "))
+	return found && len(method) > 0 && !bytes.ContainsFunc(method, func(r rune) bool { return r < 'A' || r > 'Z' })
+}
+
 // startsLikeRequest reports whether data is, or may become, the start of a GET or HEAD request.
 func startsLikeRequest(data []byte) bool {
 	for _, method := range []string{"GET ", "HEAD "} {
--- a/mesh/entry/pipeline_test.go
+++ b/mesh/entry/pipeline_test.go
@@ -373,3 +373,22 @@
 	p.is.NoErr(err)
 	p.is.Equal(response.StatusCode, 504)
 }
+
+func TestEndsOfMessagesWithAStatedLengthAreKnown(t *testing.T) {
+	for _, c := range []struct {
+		name, data string
+		length     int
+	}{
+		{"body", "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcPOST", 42},
+		{"body not here yet", "POST /a HTTP/1.1\r\ncontent-length:3\r\n\r\n", 41},
+		{"no body", "DELETE /a HTTP/1.1\r\nHost: h\r\n\r\nGET", 31},
+		{"chunks", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 0},
+		{"head not whole", "POST /a HTTP/1.1\r\nContent-Length: 3\r\n", 0},
+		{"length too large", "POST /a HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", 0},
+		{"rest of a body", "abc\r\n\r\n", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(sizedMessage([]byte(c.data)), c.length)
+		})
+	}
+}
--- a/mesh/entry/server.go
+++ b/mesh/entry/server.go
@@ -20,6 +20,9 @@
 	idleTimeout   = 2 * time.Minute
 	// refusalPeriod is the value of Server.refusalPeriod outside tests.
 	refusalPeriod = 500 * time.Millisecond
+	// idlePolls is the number of checks in a row without a request after which none is in flight: between
+	// two requests of a connection that were read together none is counted for a moment.
+	idlePolls = 2
 	// connectionPollInterval is the interval at which a stopping server checks whether all
 	// connections are closed.
 	connectionPollInterval = 10 * time.Millisecond
@@ -43,6 +46,7 @@
 	lameDuckPeriod atomic.Int64 // nanoseconds
 
 	waitingConns *waitingConns
+	listener     atomic.Pointer[net.Listener] // nil before Serve
 }
 
 // NewServer returns a server for the entry. Connections beyond settings.MaxConnections
@@ -72,24 +76,51 @@
 // Serve accepts connections until the server is shut down, then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
 	defer s.startExpiry()()
+	s.listener.Store(&listener)
 	err := s.http.Serve(&limitedListener{Listener: listener, server: s})
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.entry.leaving.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
 // Shutdown refuses new requests, waits for those in flight and closes the connections. For
-// up to refusalPeriod before it closes them, callers receive refusals, which state that
-// this daemon is leaving. On a connection closed at once a request could be on its way, and
-// its caller would not know that it was not run.
+// up to refusalPeriod before it closes the port, and for as long as requests are in flight, callers
+// receive refusals, which state that this daemon is leaving. On a connection closed at once a request
+// could be on its way or wait behind another one, and its caller would not know that it was not run.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.entry.Leave()
 	s.awaitNoConnections(ctx)
+	s.closeListener()
 	s.waitingConns.closeUnused()
+	s.awaitNothingServed(ctx)
 	return s.http.Shutdown(ctx)
 }
 
+// awaitNothingServed waits until no request is served. While http.Server shuts down, it closes each
+// connection after the current response, though a further request was read.
+func (s *Server) awaitNothingServed(ctx context.Context) {
+	ticker := time.NewTicker(connectionPollInterval)
+	defer ticker.Stop()
+	for idle := 0; idle < idlePolls; {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if idle++; s.entry.serving.Load() > 0 {
+			idle = 0
+		}
+	}
+}
+
+// closeListener makes the server accept no further connections.
+func (s *Server) closeListener() {
+	if listener := s.listener.Load(); listener != nil {
+		_ = (*listener).Close()
+	}
+}
+
 // startExpiry closes connections that exceed the limits of the configuration in force,
 // until the returned function is called.
 func (s *Server) startExpiry() (stop func()) {
