Look for lost verdicts by what is held, not by the moment at which the era is heard of

Not seen by callers; found while reading the change again. A daemon looked for verdicts that a restored store has lost when its own read of the operator's rows brought the new era. One that had heard of the era before, from another daemon or with the rows of a rollout, did not look; if all readers had, nobody would have written the verdicts again.

A daemon that reads the store looks as long as it holds a verdict that it has not read in the present era. TestVerdictIsLookedForThoughTheEraWasHeardOfBefore fails without the change.

--- a/mesh/source/restored.go
+++ b/mesh/source/restored.go
@@ -126,6 +126,16 @@
 	return (row.Ticket == present.Ticket || again) && present.Verdict != ticket.Running && row.Verdict == ticket.Running
 }
 
+// hasVerdictBefore reports whether a rollout has a verdict that was not read in an era yet.
+func (s *rowState) hasVerdictBefore(era uint64) bool {
+	for _, row := range s.rollouts {
+		if row.Verdict != ticket.Running && row.Position.Era() < era {
+			return true
+		}
+	}
+	return false
+}
+
 // lostVerdicts returns the rollouts with a verdict that a complete read of the rows of rollouts in a
 // later era did not have, each with the position of the row in its place, 0 for none.
 func (s *rowState) lostVerdicts(read RolloutChanges) []lostVerdict {
@@ -163,22 +173,21 @@
 // not block, and OnRestored must be called before Start.
 func (s *Source) OnRestored(notify func()) { s.onRestored = append(s.onRestored, notify) }
 
-// observeEra records an era of the store and reports whether the store began it after an earlier one
-// that was known here. The caller holds s.mu.
-func (s *Source) observeEra(era uint64) bool {
+// observeEra records an era of the store, which was read or which another daemon told. The caller holds
+// s.mu.
+func (s *Source) observeEra(era uint64) {
 	if era <= s.era {
-		return false
+		return
 	}
 	restored := s.era != 0
 	s.era = era
 	if !restored {
-		return false
+		return
 	}
 	s.logger.Warn("store came back from an older copy", zap.Uint64("era", era))
 	for _, notify := range s.onRestored {
 		notify()
 	}
-	return true
 }
 
 // restoreVerdicts writes the verdicts again that a complete read of the rows of rollouts did not have.
--- a/mesh/source/restored_test.go
+++ b/mesh/source/restored_test.go
@@ -264,6 +264,18 @@
 	is.Equal(store.Position(s.Snapshot().Revision()).Era(), uint64(2))
 }
 
+func TestVerdictIsLookedForThoughTheEraWasHeardOfBefore(t *testing.T) {
+	is := is.New(t)
+	s := newSource(newFakeStore())
+	s.applyOperator(OperatorChanges{Through: 30, Configurations: []Configuration{configuration(4, 29, "/a/")}, Orders: []RolloutOrder{orderOf("v2", 30)}})
+	s.applyRollouts(RolloutChanges{Through: 39, Rollouts: []RolloutRow{rolloutOf("v2", 30, 0, ticket.RolledBack, 39)}})
+	<-s.resumeRollouts
+	next := configuration(5, at(2, 30), "/a/")
+	s.applyPeerRows(rowSet{Configuration: &next}, "other")
+	s.applyOperator(OperatorChanges{Through: at(2, 31)})
+	is.Equal(len(s.resumeRollouts), 1)
+}
+
 func TestZoneHearsOfANewEraFromItsReaders(t *testing.T) {
 	r := newFakeStore()
 	r.configure(4, "/a/")
--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -153,9 +153,6 @@
 // it heard from, or freshness.Never.
 func (s *Source) Age() time.Duration { return s.copy.Age(time.Now()) }
 
-// isCurrent reports whether other daemons may take what is held here for the present rows of the store.
-func (s *Source) isCurrent() bool { return s.Age() <= s.bounds.CurrentLimit() }
-
 // LastRejection describes the last row that could not be applied, or returns "" if there is none.
 func (s *Source) LastRejection() string {
 	if text := s.lastRejection.Load(); text != nil {
@@ -355,11 +352,9 @@
 	if s.state.expireOutdated(time.Now()) {
 		s.logger.Warn("configuration of a former era of the store not written again; that of the store applies")
 	}
-	if s.observeEra(changes.Through.Era()) {
-		signal(s.resumeRollouts)
-	}
+	s.observeEra(changes.Through.Era())
 	s.publish(originStore)
-	if s.state.rolloutRunning() {
+	if s.state.rolloutRunning() || s.state.hasVerdictBefore(changes.Through.Era()) {
 		signal(s.resumeRollouts)
 	}
 }
