--- a/coord/freshness/freshness_test.go
+++ b/coord/freshness/freshness_test.go
@@ -63,8 +63,7 @@
 	return now
 }
 
-// A change that is made just after the last response to the zone readers, who then lose the store or
-// don't reply, leaves the follower time to read the store.
+// The change is made just after the last response to the zone readers, who then lose the store or don't reply.
 func TestLostReadersLeaveTimeToReadTheStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := Bounds{Apply: time.Duration(rapid.IntRange(1000, 12000).Draw(t, "apply")) * time.Millisecond}
@@ -84,8 +83,7 @@
 // relay is a zone reader without the store that copies from others.
 type relay struct{ confirmed time.Duration }
 
-// Two zone readers without the store, which ask each other first and then one that reaches the store,
-// stay current.
+// Each asks the other one first, and then a zone reader that reaches the store.
 func TestRelaysThatAskEachOtherStayCurrent(t *testing.T) {
 	b := Bounds{Apply: 2 * time.Second}
 	const step = 10 * time.Millisecond // also the time of an exchange
--- a/integration/platform_late_requests_test.go
+++ b/integration/platform_late_requests_test.go
@@ -98,9 +98,7 @@
 	}
 }
 
-// TestPlannedStopCutsNoRequestThatItTook keeps sending on kept and pipelined connections until the process is
-// gone. What is neither answered nor refused must not have run, unless it was sent early and its worker
-// was at work to the end.
+// Requests on kept and pipelined connections, sent until the process is gone, are answered or refused if they were read.
 func TestPlannedStopCutsNoRequestThatItTook(t *testing.T) {
 	t.Parallel()
 	p := startPlatformCluster(t)
