Count failed accepts, and requests whose callers left before their dispatch

Callers saw requests sent on after they had left (GONE), with and without failed accepts in the logs, and nothing told whether the close had reached the daemon by then.

--- /dev/null
+++ b/mesh/acceptor/ports.go
@@ -0,0 +1,46 @@
+// Package acceptor accepts the connections of the daemon's ports.
+package acceptor
+
+import (
+	"net"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"sassafrasnotch.example/mesh/steperr"
+)
+
+// Ports opens the TCP ports of a daemon. It is safe for concurrent use.
+type Ports struct {
+	logger *zap.Logger
+
+	mu        sync.Mutex
+	listeners []*Listener
+}
+
+// NewPorts returns Ports without an open port.
+func NewPorts(logger *zap.Logger) *Ports { return &Ports{logger: logger} }
+
+// Listen opens a TCP port. The name of the port is part of the step of its errors.
+func (p *Ports) Listen(port, address string) (*Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, steperr.Wrap(err, "listen for "+port, address)
+	}
+	l := &Listener{Listener: listener, port: port, logger: p.logger}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listeners = append(p.listeners, l)
+	return l, nil
+}
+
+// Failures returns the number of failed accepts of each port since the start of the daemon.
+func (p *Ports) Failures() map[string]uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	failures := make(map[string]uint64)
+	for _, l := range p.listeners {
+		failures[l.port] = l.failures.Load()
+	}
+	return failures
+}
--- a/mesh/daemon/daemon.go
+++ b/mesh/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/store"
+	"sassafrasnotch.example/mesh/acceptor"
 	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/distribution"
 	"sassafrasnotch.example/mesh/exit"
@@ -48,7 +49,7 @@
 		adminModule,
 		hostsModule,
 		updatesModule,
-		fx.Provide(newReloader),
+		fx.Provide(newReloader, newPorts),
 		fx.Invoke(setRuntime, registerMetrics, registerLifecycle),
 	}, options...)
 	return fx.New(all...)
@@ -65,6 +66,10 @@
 	return peer.Identity{Host: s.Host, Zone: s.Zone, Incarnation: uint64(time.Now().UnixNano())}
 }
 
+func newPorts(logger *zap.Logger) *acceptor.Ports {
+	return acceptor.NewPorts(logger.Named("acceptor"))
+}
+
 // setRuntime applies the garbage collector settings to the process.
 func setRuntime(s settings.Settings) {
 	debug.SetGCPercent(s.Runtime.GCPercent)
--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/mesh/acceptor"
 	"sassafrasnotch.example/mesh/claim"
 	"sassafrasnotch.example/mesh/controller"
 	"sassafrasnotch.example/mesh/entry"
@@ -51,6 +52,7 @@
 	Updates       *zoneUpdates
 	Recorder      *report.Recorder
 	Credentials   *tlsCredentials
+	Ports         *acceptor.Ports
 }
 
 // lifecycle starts the components in the order of their dependencies and stops them so that no
@@ -79,21 +81,21 @@
 // start opens every port before it starts the membership, which makes the daemon known to the
 // others.
 func (l *lifecycle) start(ctx context.Context) error {
-	peerListener, err := listen("peer", l.Settings.Peer.Listen)
+	peerListener, err := l.Ports.Listen("peer", l.Settings.Peer.Listen)
 	if err != nil {
 		return err
 	}
-	adminListener, err := listen("admin", l.Settings.Admin.Listen)
+	adminListener, err := l.Ports.Listen("admin", l.Settings.Admin.Listen)
 	if err != nil {
 		return errors.Join(err, peerListener.Close())
 	}
-	entryListener, err := listen("entry", l.Settings.Entry.Listen)
+	entryListener, err := l.Ports.Listen("entry", l.Settings.Entry.Listen)
 	if err != nil {
 		return errors.Join(err, peerListener.Close(), adminListener.Close())
 	}
-	var ready net.Listener
+	var ready *acceptor.Listener
 	if l.Settings.Admin.Ready != "" {
-		if ready, err = listen("readiness", l.Settings.Admin.Ready); err != nil {
+		if ready, err = l.Ports.Listen("readiness", l.Settings.Admin.Ready); err != nil {
 			return errors.Join(err, peerListener.Close(), adminListener.Close(), entryListener.Close())
 		}
 	}
@@ -112,12 +114,6 @@
 	return nil
 }
 
-// listen opens a TCP port. The name of the port is part of the step of its errors.
-func listen(port, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	return listener, steperr.Wrap(err, "listen for "+port, address)
-}
-
 // registerCallbacks connects the events of the components to the components that handle them.
 func (l *lifecycle) registerCallbacks() {
 	l.Pool.SetLocalHandlers(l.Exit, l.Control)
--- a/mesh/daemon/metrics.go
+++ b/mesh/daemon/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"sassafrasnotch.example/mesh/acceptor"
 	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/admin"
 	"sassafrasnotch.example/mesh/entry"
@@ -21,6 +22,7 @@
 	server     *entry.Server
 	entry      *entry.Entry
 	log        *telemetry.Log
+	ports      *acceptor.Ports
 
 	configurationAge, confirmedAge                  metric.Float64ObservableGauge
 	remainingRetries, targetRate                    metric.Float64ObservableGauge
@@ -31,12 +33,13 @@
 	controlledRollouts, callerConnections           metric.Int64ObservableGauge
 	controlBytes, storeRequests                     metric.Int64ObservableCounter
 	droppedLines                                    metric.Int64ObservableCounter
+	acceptFailures, departedRequests                metric.Int64ObservableCounter
 }
 
 // registerMetrics creates the daemon's metrics. docs/METRICS.md lists them.
-func registerMetrics(m *telemetry.Metrics, p *statusProvider, a adapter.Adapter, server *entry.Server, e *entry.Entry, log *telemetry.Log) error {
+func registerMetrics(m *telemetry.Metrics, p *statusProvider, a adapter.Adapter, server *entry.Server, e *entry.Entry, log *telemetry.Log, ports *acceptor.Ports) error {
 	meter := m.Meter("daemon")
-	g := &gauges{provider: p, storeUsage: a.Usage, server: server, entry: e, log: log}
+	g := &gauges{provider: p, storeUsage: a.Usage, server: server, entry: e, log: log, ports: ports}
 	var createErr error
 	gauge := func(name, description string) metric.Int64ObservableGauge {
 		instrument, err := meter.Int64ObservableGauge(name, metric.WithDescription(description))
@@ -76,11 +79,13 @@
 	g.controlBytes = counter("sassafras_control_bytes", "By", "Bytes of control traffic, by direction")
 	g.storeRequests = counter("sassafras_platform_requests", "{request}", "Operations started at the platform, by kind")
 	g.droppedLines = counter("sassafras_log_dropped", "{line}", "Log lines dropped because the output was not read")
+	g.acceptFailures = counter("sassafras_accept_failures", "{failure}", "Failed attempts to accept a connection, by port")
+	g.departedRequests = counter("sassafras_calls_departed", "{call}", "Attempts before which the caller was found to have closed its connection")
 	if createErr != nil {
 		return createErr
 	}
 	_, err := meter.RegisterCallback(g.observe, g.configurationAge, g.confirmedAge, g.remainingRetries, g.queued, g.storeFailures, g.appliedRevision, g.latestRevision, g.storeReachable, g.members, g.targets, g.targetRate,
-		g.outstanding, g.controlledRollouts, g.callerConnections, g.controlBytes, g.storeRequests, g.droppedLines)
+		g.outstanding, g.controlledRollouts, g.callerConnections, g.controlBytes, g.storeRequests, g.droppedLines, g.acceptFailures, g.departedRequests)
 	return err
 }
 
@@ -110,6 +115,10 @@
 		o.ObserveFloat64(g.remainingRetries, remaining, label(telemetry.FieldService, service))
 	}
 	o.ObserveInt64(g.droppedLines, int64(g.log.Dropped()))
+	for port, failures := range g.ports.Failures() {
+		o.ObserveInt64(g.acceptFailures, int64(failures), label("port", port))
+	}
+	o.ObserveInt64(g.departedRequests, int64(g.entry.DepartedRequests()))
 	return nil
 }
 
--- a/mesh/entry/callerconn.go
+++ b/mesh/entry/callerconn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sassafrasnotch.example/mesh/connstate"
 )
 
 const (
@@ -253,6 +255,12 @@
 	return true
 }
 
+// closedByCaller reports whether the caller has closed the connection, also where bytes that were not
+// read yet hide it from a read. The connection may be nil.
+func (c *countedConn) closedByCaller() bool {
+	return c != nil && connstate.ClosedByPeer(c.Conn)
+}
+
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	c.once.Do(c.onClose)
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -93,6 +93,7 @@
 	serving atomic.Int64
 	// keepAlivesDisabled is set from the start of a stop, while new requests are still served.
 	keepAlivesDisabled atomic.Bool
+	departedRequests   atomic.Uint64
 }
 
 // New returns an entry for the daemon at self.
@@ -148,6 +149,10 @@
 	return remaining
 }
 
+// DepartedRequests returns the number of attempts before which the caller was found to have closed
+// its connection.
+func (e *Entry) DepartedRequests() uint64 { return e.departedRequests.Load() }
+
 // DisableKeepAlives makes the entry close each caller's connection after its next response.
 func (e *Entry) DisableKeepAlives() { e.keepAlivesDisabled.Store(true) }
 
