Reproduce the two causes of the descriptor incident in tests that fail

Callers saw requests run after they had left, and daemons that took no connection and no request of other daemons while they said ready.

--- a/integration/cluster/cluster.go
+++ b/integration/cluster/cluster.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -37,6 +38,8 @@
 	HostsPerZone int
 	// Direct makes the daemons connect to each other directly, not through the fault proxies.
 	Direct bool
+	// Descriptors, if not 0, is the number of file descriptors that each daemon may open.
+	Descriptors int
 	// Adjust, if set, changes the settings of each daemon before they are written.
 	Adjust func(*settings.Settings)
 }
@@ -58,9 +61,10 @@
 // Daemon is the daemon of one host, with the settings that it was started with.
 type Daemon struct {
 	*Process
-	cluster  *Cluster
-	Settings settings.Settings
-	path     string
+	cluster     *Cluster
+	Settings    settings.Settings
+	path        string
+	descriptors int // that it may open; 0 leaves the limit of the test
 }
 
 // Start runs the platform stand-in and the daemons until the test ends. It returns when every daemon
@@ -140,7 +144,7 @@
 	}
 	path := filepath.Join(c.dir, s.Host+".json")
 	writeJSON(c.t, path, s)
-	c.Daemons = append(c.Daemons, &Daemon{cluster: c, Settings: s, path: path})
+	c.Daemons = append(c.Daemons, &Daemon{cluster: c, Settings: s, path: path, descriptors: options.Descriptors})
 }
 
 // forward starts the fault proxies on the addresses that a daemon advertises.
@@ -168,7 +172,12 @@
 // Launch starts the daemon's process.
 func (d *Daemon) Launch() {
 	d.cluster.t.Helper()
-	d.Process = start(d.cluster.t, d.Settings.Host, d.cluster.binaries.Daemon, "-settings", d.path)
+	program := []string{d.cluster.binaries.Daemon, "-settings", d.path}
+	if d.descriptors > 0 {
+		// The shell lowers its own limit and becomes the daemon.
+		program = append([]string{"/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(d.descriptors)}, program...)
+	}
+	d.Process = start(d.cluster.t, d.Settings.Host, program[0], program[1:]...)
 }
 
 // Restart kills the daemon's process and starts it again.
--- a/integration/requests_scenario_test.go
+++ b/integration/requests_scenario_test.go
@@ -50,11 +50,14 @@
 type requestTestOptions struct {
 	seed         uint64
 	zones, hosts int
-	target       func(*targetserver.Config)
-	settings     func(*settings.Settings)
+	// targetHosts is the number of hosts with a target, from the first one on; 0 means all.
+	targetHosts int
+	descriptors int // that each daemon may open; 0 leaves the limit of the test
+	target      func(*targetserver.Config)
+	settings    func(*settings.Settings)
 }
 
-// newRequestTest starts a system with one target on each host and a route of each repeat mode: idempotent,
+// newRequestTest starts a system with one target on each host, or on the first targetHosts, and a route of each repeat mode: idempotent,
 // never and keyed.
 func newRequestTest(t *testing.T, s requestTestOptions) *requestTest {
 	t.Helper()
@@ -66,10 +69,14 @@
 			s.settings(daemon)
 		}
 	}
-	c := cluster.Start(t, cluster.Options{Zones: s.zones, HostsPerZone: s.hosts, Adjust: adjust})
+	c := cluster.Start(t, cluster.Options{Zones: s.zones, HostsPerZone: s.hosts, Adjust: adjust, Descriptors: s.descriptors})
 	r := &requestTest{t: t, Cluster: c, random: rand.New(rand.NewPCG(s.seed, 0))}
 	r.client.Transport = &http.Transport{DisableKeepAlives: true}
-	for _, daemon := range c.Daemons {
+	daemons := c.Daemons
+	if s.targetHosts > 0 {
+		daemons = daemons[:s.targetHosts]
+	}
+	for _, daemon := range daemons {
 		r.targets = append(r.targets, c.StartTarget(daemon, "counter", "v1", func(config *targetserver.Config) {
 			config.WorkDuration = revision.Duration(20 * time.Millisecond)
 			if s.target != nil {
