Send no request on whose caller has closed its connection

Cause: a request read late, by a daemon short of processor time or from the backlog, has its caller's close right behind it, and the read by which net/http notices that runs beside the dispatch. The entry now asks the socket right before it sends the first frame, and cancels the connection's requests if the caller has left; a keyed request still runs to its end. The look needs no read, so neither a long body nor pipelined requests hide the close.

TestRequestWhoseCallerLeftBeforeItWasReadIsNotDispatched failed before (6 and 20 of 20 dispatched).

--- a/mesh/daemon/metrics.go
+++ b/mesh/daemon/metrics.go
@@ -80,7 +80,7 @@
 	g.storeRequests = counter("sassafras_platform_requests", "{request}", "Operations started at the platform, by kind")
 	g.droppedLines = counter("sassafras_log_dropped", "{line}", "Log lines dropped because the output was not read")
 	g.acceptFailures = counter("sassafras_accept_failures", "{failure}", "Failed attempts to accept a connection, by port")
-	g.departedRequests = counter("sassafras_calls_departed", "{call}", "Attempts before which the caller was found to have closed its connection")
+	g.departedRequests = counter("sassafras_calls_departed", "{call}", "Attempts that were not made because the caller had closed its connection")
 	if createErr != nil {
 		return createErr
 	}
--- a/mesh/entry/callerconn.go
+++ b/mesh/entry/callerconn.go
@@ -261,12 +261,17 @@
 	return c != nil && connstate.ClosedByPeer(c.Conn)
 }
 
-// Close implements net.Conn.
-func (c *countedConn) Close() error {
-	c.once.Do(c.onClose)
+// cancelRequests ends the context of the connection's requests.
+func (c *countedConn) cancelRequests() {
 	c.mutex.Lock()
 	cancel := c.cancel
 	c.mutex.Unlock()
 	cancel()
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(c.onClose)
+	c.cancelRequests()
 	return c.Conn.Close()
 }
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -149,8 +149,8 @@
 	return remaining
 }
 
-// DepartedRequests returns the number of attempts before which the caller was found to have closed
-// its connection.
+// DepartedRequests returns the number of attempts that were not made because the caller had closed its
+// connection.
 func (e *Entry) DepartedRequests() uint64 { return e.departedRequests.Load() }
 
 // DisableKeepAlives makes the entry close each caller's connection after its next response.
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
 	"sassafrasnotch.example/coord/balance"
 	"sassafrasnotch.example/coord/retry"
 	"sassafrasnotch.example/coord/revision"
@@ -58,10 +56,9 @@
 		return e.openFailure(err)
 	}
 	e.stream = stream
-	if e.request.conn.closedByCaller() {
-		e.request.entry.departedRequests.Add(1)
-		e.request.entry.deps.Log.Info("caller closed its connection before the dispatch",
-			zap.String("request_id", e.request.requestID), zap.Duration("took", time.Since(e.request.startedAt)))
+	if e.request.callerLeft() {
+		stream.Release()
+		return refused(ReasonExpired, stepSend, "the caller has closed its connection").withPeer(e.endpoint.Host)
 	}
 	_ = stream.SetDeadline(e.request.deadline.Add(responseGrace))
 	stopInterrupt := context.AfterFunc(e.request.ctx, func() { interrupt(stream) })
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -193,6 +193,17 @@
 // cancelled reports whether the caller's disconnect cancelled the request.
 func (c *callerRequest) cancelled() bool { return c.ctx.Err() != nil }
 
+// callerLeft reports whether the caller has closed its connection, and cancels the connection's requests
+// if so. The read by which net/http notices a close runs beside the dispatch, and may come after it.
+func (c *callerRequest) callerLeft() bool {
+	if c.route.Repeat == revision.RepeatKeyed || !c.conn.closedByCaller() {
+		return false
+	}
+	c.entry.departedRequests.Add(1)
+	c.conn.cancelRequests()
+	return true
+}
+
 // attempt sends the request to the endpoint of an offer and relays its response. It returns the
 // failure if there was none.
 func (c *callerRequest) attempt(choice *balance.Choice, offer balance.Offer) *failure {
