Dispatch no queued request whose entry has closed its stream

Callers that left while their request waited for a slot had it run all the same, if its body was still on the way. Same cause as at the entry: a close behind frames that nobody reads is not noticed, and one that arrived is noticed by a goroutine that may run later than the dispatch; the exit also counts the deadline from when it reads the request. The exit now asks the stream's socket, or the in-memory connection, right before it writes to the target.

--- a/mesh/exit/dispatch.go
+++ b/mesh/exit/dispatch.go
@@ -17,6 +17,7 @@
 	errUnsolicited      = errors.New("the target sent a response before the request was written")
 	errProtocolSwitched = errors.New("the target switched protocols")
 	errUnsigned         = errors.New("the success response lacks the signature header of the target")
+	errCallerLeft       = errors.New("the entry has closed the stream")
 	errUnframed         = errors.New("the response has neither a length nor chunks, so a truncated body can't be detected")
 )
 
@@ -140,6 +141,11 @@
 		return nil, err
 	}
 	c.conn = conn
+	if c.stream.ClosedByPeer() {
+		c.abort()
+		c.target.conns.put(conn)
+		return nil, errCallerLeft
+	}
 	conn.begin(c.ctx)
 	response, err := c.roundTrip(conn)
 	unwritten := conn.disableWrites()
--- a/mesh/peer/memoryconn.go
+++ b/mesh/peer/memoryconn.go
@@ -35,6 +35,16 @@
 	return nil
 }
 
+// closedByPeer reports whether either end has closed the connection.
+func (c *memoryConn) closedByPeer() bool {
+	select {
+	case <-c.in.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *memoryConn) LocalAddr() net.Addr  { return memoryAddr{} }
 func (c *memoryConn) RemoteAddr() net.Addr { return memoryAddr{} }
 
--- a/mesh/peer/stream.go
+++ b/mesh/peer/stream.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/mesh/connstate"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
@@ -219,6 +220,15 @@
 	}()
 }
 
+// ClosedByPeer reports whether the other end has closed the stream, also behind frames that were not
+// received yet. It does not block.
+func (s *Stream) ClosedByPeer() bool {
+	if local, ok := s.conn.(*memoryConn); ok {
+		return local.closedByPeer()
+	}
+	return connstate.ClosedByPeer(s.conn)
+}
+
 // waitForWatch waits for the goroutine of WatchClose, which uses the reader of the stream too.
 func (s *Stream) waitForWatch() {
 	if s.watchDone == nil {
