Send the test of departed callers to a route that exists

Two of its four cases asked for a path without a route, got 404 and could not fail. With the look at the caller's socket disabled, all four now fail (19, 17, 20 and 179 dispatched).

--- a/mesh/entry/departed_test.go
+++ b/mesh/entry/departed_test.go
@@ -57,10 +57,10 @@
 		name    string
 		request string
 	}{
-		{"without a body", "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n"},
+		{"without a body", "GET /catalog HTTP/1.1\r\nHost: x\r\n\r\n"},
 		{"with a body", "POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"},
 		{"with a body longer than the inline part", "POST /order HTTP/1.1\r\nHost: x\r\n" + length + "\r\n" + strings.Repeat("x", 40000)},
-		{"before pipelined requests", strings.Repeat("GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n", readAheadBytes/20)},
+		{"before pipelined requests", strings.Repeat("GET /catalog HTTP/1.1\r\nHost: x\r\n\r\n", readAheadBytes/20)},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
