Divide the descriptors of the process among its parts

Cause: entry.maxConnections is 5000, the process may open 4100, and nothing related the two; callers' connections took every descriptor, so that accepts and dials failed everywhere.

coord/descriptors reads the limit and guarantees each part a share; the remainder goes to whoever needs it. Every connection counts: accepted ones through mesh/acceptor, dialed ones through mesh/limitedconn. At the bound, the longest idle connection of callers or to peers is closed first; what can't be held is refused or closed at once.

--- a/mesh/acceptor/listener.go
+++ b/mesh/acceptor/listener.go
@@ -1,13 +1,13 @@
 package acceptor
 
 import (
-	"errors"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
+
+	"sassafrasnotch.example/mesh/limitedconn"
 )
 
 // retryInterval is the time between a failed accept and the next one.
@@ -16,6 +16,7 @@
 // Listener is the listener of one port.
 type Listener struct {
 	net.Listener
+	limit    *limitedconn.Limit
 	port     string
 	logger   *zap.Logger
 	failures atomic.Uint64
@@ -24,7 +25,12 @@
 	failingSince atomic.Int64
 }
 
-// Accept implements net.Listener. It does not return an error that says that the process or the host
+// OnFull sets the function that closes a connection of the port that can be spared, and reports whether
+// there was one. It must be called before Accept.
+func (l *Listener) OnFull(makeRoom func() bool) { l.limit.MakeRoom = makeRoom }
+
+// Accept implements net.Listener. A connection beyond the budget is closed at once: in the queue of the
+// kernel its caller would wait for nothing. Accept does not return an error that says that the process or the host
 // is short of descriptors or memory, since a server ends or pauses on an error; it tries again until it
 // succeeds.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -32,24 +38,21 @@
 		conn, err := l.Listener.Accept()
 		if err == nil {
 			l.recordSuccess()
-			return conn, nil
+			if l.limit.Acquire() {
+				return l.limit.Wrap(conn), nil
+			}
+			_ = conn.Close()
+			continue
 		}
-		if !isShortage(err) {
+		if !limitedconn.IsShortage(err) {
 			return nil, err
 		}
 		l.recordFailure(err)
-		time.Sleep(retryInterval)
-	}
-}
-
-// isShortage reports whether an error says that the process or the host is short of descriptors or memory.
-func isShortage(err error) bool {
-	for _, shortage := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
-		if errors.Is(err, shortage) {
-			return true
+		if l.limit.MakeRoom != nil {
+			l.limit.MakeRoom()
 		}
+		time.Sleep(retryInterval)
 	}
-	return false
 }
 
 func (l *Listener) recordFailure(err error) {
--- a/mesh/acceptor/listener_test.go
+++ b/mesh/acceptor/listener_test.go
@@ -10,6 +10,9 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+
+	"sassafrasnotch.example/coord/descriptors"
+	"sassafrasnotch.example/mesh/limitedconn"
 )
 
 // scriptedListener fails the first accepts with the errors, and returns connections then.
@@ -29,7 +32,8 @@
 }
 
 func failing(errs ...error) *Listener {
-	return &Listener{Listener: &scriptedListener{errs: errs}, port: "peer", logger: zap.NewNop()}
+	limit := &limitedconn.Limit{Budget: descriptors.NewBudget(1024), Part: descriptors.PeersAccepted}
+	return &Listener{Listener: &scriptedListener{errs: errs}, limit: limit, port: "peer", logger: zap.NewNop()}
 }
 
 func TestShortageOfDescriptorsDoesNotEndTheServer(t *testing.T) {
--- a/mesh/acceptor/ports.go
+++ b/mesh/acceptor/ports.go
@@ -7,27 +7,33 @@
 
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/descriptors"
+	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/steperr"
 )
 
 // Ports opens the TCP ports of a daemon. It is safe for concurrent use.
 type Ports struct {
+	budget *descriptors.Budget
 	logger *zap.Logger
 
 	mu        sync.Mutex
 	listeners []*Listener
 }
 
-// NewPorts returns Ports without an open port.
-func NewPorts(logger *zap.Logger) *Ports { return &Ports{logger: logger} }
+// NewPorts returns Ports without an open port. Their connections count in the budget.
+func NewPorts(budget *descriptors.Budget, logger *zap.Logger) *Ports {
+	return &Ports{budget: budget, logger: logger}
+}
 
-// Listen opens a TCP port. The name of the port is part of the step of its errors.
-func (p *Ports) Listen(port, address string) (*Listener, error) {
+// Listen opens a TCP port, whose connections belong to the part of the process. The name of the port is
+// part of the step of its errors.
+func (p *Ports) Listen(port string, part descriptors.Part, address string) (*Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, steperr.Wrap(err, "listen for "+port, address)
 	}
-	l := &Listener{Listener: listener, port: port, logger: p.logger}
+	l := &Listener{Listener: listener, limit: &limitedconn.Limit{Budget: p.budget, Part: part}, port: port, logger: p.logger}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.listeners = append(p.listeners, l)
--- a/mesh/adapter/adapter.go
+++ b/mesh/adapter/adapter.go
@@ -27,6 +27,9 @@
 	Timeout time.Duration // of one operation on the store
 	// LocalIP is the local address of connections; if empty, the system chooses it.
 	LocalIP string
+	// LimitDial returns a DialFunc that opens connections with the given one, within the limits of the
+	// daemon. It may be nil.
+	LimitDial func(DialFunc) DialFunc
 	// WrapTLS returns a DialFunc that adds TLS to the connections of the given one. It is used for
 	// an https URL and may be nil.
 	WrapTLS func(DialFunc) DialFunc
--- a/mesh/connstate/connstate_test.go
+++ b/mesh/connstate/connstate_test.go
@@ -37,10 +37,12 @@
 	is := is.New(t)
 	near, far := connPair(t)
 	is.True(!ClosedByPeer(near))
+	is.True(!Readable(near))
 	_, err := far.Write([]byte("unread"))
 	is.NoErr(err)
 	time.Sleep(10 * time.Millisecond)
 	is.True(!ClosedByPeer(near))
+	is.True(Readable(near))
 	is.NoErr(near.CloseWrite())
 	is.True(!ClosedByPeer(near)) // only this end has closed
 }
--- a/mesh/daemon/daemon.go
+++ b/mesh/daemon/daemon.go
@@ -4,12 +4,14 @@
 
 import (
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/descriptors"
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/store"
@@ -17,6 +19,7 @@
 	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/distribution"
 	"sassafrasnotch.example/mesh/exit"
+	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/membership"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/registrar"
@@ -49,7 +52,7 @@
 		adminModule,
 		hostsModule,
 		updatesModule,
-		fx.Provide(newReloader, newPorts),
+		fx.Provide(newReloader, newPorts, newBudget),
 		fx.Invoke(setRuntime, registerMetrics, registerLifecycle),
 	}, options...)
 	return fx.New(all...)
@@ -66,8 +69,21 @@
 	return peer.Identity{Host: s.Host, Zone: s.Zone, Incarnation: uint64(time.Now().UnixNano())}
 }
 
-func newPorts(logger *zap.Logger) *acceptor.Ports {
-	return acceptor.NewPorts(logger.Named("acceptor"))
+func newPorts(budget *descriptors.Budget, logger *zap.Logger) *acceptor.Ports {
+	return acceptor.NewPorts(budget, logger.Named("acceptor"))
+}
+
+// maxDescriptors bounds the budget where the limit of the process is higher or none.
+const maxDescriptors = 1 << 20
+
+// newBudget returns a budget of the descriptors that the process may open.
+func newBudget(logger *zap.Logger) *descriptors.Budget {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		logger.Error("limit of descriptors unknown", zap.String("step", "read the limit of descriptors"), zap.Error(err))
+		limit.Cur = maxDescriptors
+	}
+	return descriptors.NewBudget(int(min(limit.Cur, maxDescriptors)))
 }
 
 // setRuntime applies the garbage collector settings to the process.
@@ -85,8 +101,9 @@
 ))
 
 var platformModule = fx.Module("platform", fx.Provide(
-	func(s settings.Settings, connect adapter.Connect, credentials *tlsCredentials) adapter.Adapter {
-		config := adapter.Config{URL: s.Platform.URL, Timeout: s.Platform.Timeout.Std(), LocalIP: s.Peer.Bind}
+	func(s settings.Settings, connect adapter.Connect, budget *descriptors.Budget, credentials *tlsCredentials) adapter.Adapter {
+		limit := &limitedconn.Limit{Budget: budget, Part: descriptors.Store}
+		config := adapter.Config{URL: s.Platform.URL, Timeout: s.Platform.Timeout.Std(), LocalIP: s.Peer.Bind, LimitDial: limit.Dialer}
 		if credentials.platform != nil {
 			config.WrapTLS = credentials.platform.Dialer
 		}
@@ -97,8 +114,9 @@
 ))
 
 var peerModule = fx.Module("peer", fx.Provide(
-	func(identity peer.Identity, s settings.Settings, credentials *tlsCredentials, logger *zap.Logger) *peer.Pool {
+	func(identity peer.Identity, s settings.Settings, budget *descriptors.Budget, credentials *tlsCredentials, logger *zap.Logger) *peer.Pool {
 		pool := peer.NewPool(identity, s.Peer, logger.Named("peer"))
+		pool.UseBudget(budget)
 		if credentials.peer != nil {
 			pool.UseSecurity(credentials.peer)
 		}
--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/descriptors"
 	"sassafrasnotch.example/mesh/acceptor"
 	"sassafrasnotch.example/mesh/claim"
 	"sassafrasnotch.example/mesh/controller"
@@ -81,24 +82,25 @@
 // start opens every port before it starts the membership, which makes the daemon known to the
 // others.
 func (l *lifecycle) start(ctx context.Context) error {
-	peerListener, err := l.Ports.Listen("peer", l.Settings.Peer.Listen)
+	peerListener, err := l.Ports.Listen("peer", descriptors.PeersAccepted, l.Settings.Peer.Listen)
 	if err != nil {
 		return err
 	}
-	adminListener, err := l.Ports.Listen("admin", l.Settings.Admin.Listen)
+	adminListener, err := l.Ports.Listen("admin", descriptors.Admin, l.Settings.Admin.Listen)
 	if err != nil {
 		return errors.Join(err, peerListener.Close())
 	}
-	entryListener, err := l.Ports.Listen("entry", l.Settings.Entry.Listen)
+	entryListener, err := l.Ports.Listen("entry", descriptors.Callers, l.Settings.Entry.Listen)
 	if err != nil {
 		return errors.Join(err, peerListener.Close(), adminListener.Close())
 	}
 	var ready *acceptor.Listener
 	if l.Settings.Admin.Ready != "" {
-		if ready, err = l.Ports.Listen("readiness", l.Settings.Admin.Ready); err != nil {
+		if ready, err = l.Ports.Listen("readiness", descriptors.Admin, l.Settings.Admin.Ready); err != nil {
 			return errors.Join(err, peerListener.Close(), adminListener.Close(), entryListener.Close())
 		}
 	}
+	entryListener.OnFull(l.EntryServer.CloseLongestIdle)
 	l.registerCallbacks()
 	if err := l.Members.Start(ctx); err != nil {
 		return errors.Join(err, peerListener.Close(), adminListener.Close(), entryListener.Close())
--- a/mesh/daemon/metrics.go
+++ b/mesh/daemon/metrics.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"sassafrasnotch.example/coord/descriptors"
 	"sassafrasnotch.example/mesh/acceptor"
 	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/admin"
@@ -23,6 +24,7 @@
 	entry      *entry.Entry
 	log        *telemetry.Log
 	ports      *acceptor.Ports
+	budget     *descriptors.Budget
 
 	configurationAge, confirmedAge                  metric.Float64ObservableGauge
 	remainingRetries, targetRate                    metric.Float64ObservableGauge
@@ -34,12 +36,14 @@
 	controlBytes, storeRequests                     metric.Int64ObservableCounter
 	droppedLines                                    metric.Int64ObservableCounter
 	acceptFailures, departedRequests                metric.Int64ObservableCounter
+	descriptorLimit, descriptorsHeld                metric.Int64ObservableGauge
+	descriptorsRefused                              metric.Int64ObservableCounter
 }
 
 // registerMetrics creates the daemon's metrics. docs/METRICS.md lists them.
-func registerMetrics(m *telemetry.Metrics, p *statusProvider, a adapter.Adapter, server *entry.Server, e *entry.Entry, log *telemetry.Log, ports *acceptor.Ports) error {
+func registerMetrics(m *telemetry.Metrics, p *statusProvider, a adapter.Adapter, server *entry.Server, e *entry.Entry, log *telemetry.Log, ports *acceptor.Ports, budget *descriptors.Budget) error {
 	meter := m.Meter("daemon")
-	g := &gauges{provider: p, storeUsage: a.Usage, server: server, entry: e, log: log, ports: ports}
+	g := &gauges{provider: p, storeUsage: a.Usage, server: server, entry: e, log: log, ports: ports, budget: budget}
 	var createErr error
 	gauge := func(name, description string) metric.Int64ObservableGauge {
 		instrument, err := meter.Int64ObservableGauge(name, metric.WithDescription(description))
@@ -81,11 +85,15 @@
 	g.droppedLines = counter("sassafras_log_dropped", "{line}", "Log lines dropped because the output was not read")
 	g.acceptFailures = counter("sassafras_accept_failures", "{failure}", "Failed attempts to accept a connection, by port")
 	g.departedRequests = counter("sassafras_calls_departed", "{call}", "Attempts that were not made because the caller had closed its connection")
+	g.descriptorLimit = gauge("sassafras_descriptors_limit", "File descriptors that the process may open")
+	g.descriptorsHeld = gauge("sassafras_descriptors", "Descriptors of connections, by part of the process")
+	g.descriptorsRefused = counter("sassafras_descriptors_refused", "{descriptor}", "Descriptors that a part did not receive from the budget")
 	if createErr != nil {
 		return createErr
 	}
 	_, err := meter.RegisterCallback(g.observe, g.configurationAge, g.confirmedAge, g.remainingRetries, g.queued, g.storeFailures, g.appliedRevision, g.latestRevision, g.storeReachable, g.members, g.targets, g.targetRate,
-		g.outstanding, g.controlledRollouts, g.callerConnections, g.controlBytes, g.storeRequests, g.droppedLines, g.acceptFailures, g.departedRequests)
+		g.outstanding, g.controlledRollouts, g.callerConnections, g.controlBytes, g.storeRequests, g.droppedLines, g.acceptFailures, g.departedRequests,
+		g.descriptorLimit, g.descriptorsHeld, g.descriptorsRefused)
 	return err
 }
 
@@ -118,6 +126,11 @@
 	for port, failures := range g.ports.Failures() {
 		o.ObserveInt64(g.acceptFailures, int64(failures), label("port", port))
 	}
+	o.ObserveInt64(g.descriptorLimit, int64(g.budget.Limit()))
+	for _, usage := range g.budget.Usage() {
+		o.ObserveInt64(g.descriptorsHeld, int64(usage.Held), label("part", usage.Part.String()))
+		o.ObserveInt64(g.descriptorsRefused, int64(usage.Refused), label("part", usage.Part.String()))
+	}
 	o.ObserveInt64(g.departedRequests, int64(g.entry.DepartedRequests()))
 	return nil
 }
--- a/mesh/daemon/requests.go
+++ b/mesh/daemon/requests.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/balance"
+	"sassafrasnotch.example/coord/descriptors"
 	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/claim"
@@ -21,8 +22,8 @@
 )
 
 var requestsModule = fx.Module("calls", fx.Provide(
-	func(identity peer.Identity, s settings.Settings, a adapter.Adapter, c configuration, metrics *telemetry.RequestMetrics, logger *zap.Logger) *exit.Exit {
-		options := []exit.Option{exit.WithLatencyBound(latencyBounds{c}.bound), exit.WithQueueObserver(metrics.ObserveQueueWait)}
+	func(identity peer.Identity, s settings.Settings, a adapter.Adapter, c configuration, budget *descriptors.Budget, metrics *telemetry.RequestMetrics, logger *zap.Logger) *exit.Exit {
+		options := []exit.Option{exit.WithBudget(budget), exit.WithLatencyBound(latencyBounds{c}.bound), exit.WithQueueObserver(metrics.ObserveQueueWait)}
 		if s.Configuration.Source == settings.SourceOperator {
 			options = append(options, exit.WithConventions(a.TargetConventions))
 		}
@@ -59,8 +60,10 @@
 			Log:             logger.Named("entry"),
 		})
 	},
-	func(s settings.Settings, handler *entry.Entry, logger *zap.Logger) *entry.Server {
-		return entry.NewServer(s.Entry, handler, logger.Named("entry"))
+	func(s settings.Settings, budget *descriptors.Budget, handler *entry.Entry, logger *zap.Logger) *entry.Server {
+		limits := s.Entry
+		limits.MaxConnections = min(limits.MaxConnections, entry.ConnectionLimit(budget.Most(descriptors.Callers)))
+		return entry.NewServer(limits, handler, logger.Named("entry"))
 	},
 ))
 
--- a/mesh/entry/limits_test.go
+++ b/mesh/entry/limits_test.go
@@ -179,3 +179,74 @@
 	is.True(response.Close)
 	waitFor(t, func() bool { return f.server.Connections() == limits.MaxConnections })
 }
+
+// roundTripOn sends a request on the connection and returns the status of the response.
+func roundTripOn(conn net.Conn) (int, error) {
+	if _, err := io.WriteString(conn, "GET /catalog HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+func TestLongestIdleConnectionIsClosedForANewOne(t *testing.T) {
+	is := is.New(t)
+	limits := testSettings()
+	limits.MaxConnections = 3
+	f := newFixture(t, limits, nil, twoHosts(respondsWith(200, "ok"), respondsWith(200, "ok")))
+	var conns []net.Conn
+	for range limits.MaxConnections {
+		conn := dial(t, f)
+		status, err := roundTripOn(conn)
+		is.NoErr(err)
+		is.Equal(status, 200)
+		conns = append(conns, conn)
+	}
+	time.Sleep(minSpareWait + 50*time.Millisecond)
+	status, err := roundTripOn(conns[0]) // the second one has now been idle for longest
+	is.NoErr(err)
+	is.Equal(status, 200)
+	status, err = roundTripOn(dial(t, f))
+	is.NoErr(err)
+	is.Equal(status, 200)
+	_, err = roundTripOn(conns[1])
+	is.True(err != nil)
+	status, err = roundTripOn(conns[2])
+	is.NoErr(err)
+	is.Equal(status, 200)
+}
+
+func TestConnectionWithARequestIsNotClosedForANewOne(t *testing.T) {
+	is := is.New(t)
+	limits := testSettings()
+	limits.MaxConnections = 2
+	release := make(chan struct{})
+	waits := func(stream *pipeStream, head *peerpb.CallHead, attempt uint64) {
+		<-release
+		respondsWith(200, "ok")(stream, head, attempt)
+	}
+	f := newFixture(t, limits, nil, twoHosts(waits, waits))
+	served, partial := dial(t, f), dial(t, f)
+	_, err := io.WriteString(served, "GET /catalog HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.NoErr(err)
+	_, err = io.WriteString(partial, "GET /catalog HTTP/1.1\r\n")
+	is.NoErr(err)
+	time.Sleep(minSpareWait + 50*time.Millisecond)
+	status, err := roundTripOn(dial(t, f))
+	is.NoErr(err)
+	is.Equal(status, http.StatusTooManyRequests)
+	close(release)
+	for _, conn := range []net.Conn{served, partial} {
+		if conn == partial {
+			_, err = io.WriteString(partial, "Host: x\r\n\r\n")
+			is.NoErr(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, 200)
+	}
+}
--- a/mesh/entry/server.go
+++ b/mesh/entry/server.go
@@ -49,9 +49,15 @@
 	listener     atomic.Pointer[net.Listener] // nil before Serve
 }
 
-// NewServer returns a server for the entry. Connections beyond settings.MaxConnections
-// receive a refusal and are closed; those more than a tenth beyond it are closed without a
-// response.
+// ConnectionLimit returns the highest MaxConnections with which a server holds at most that many
+// descriptors.
+func ConnectionLimit(descriptors int) int {
+	return max(descriptors*refusedConnDivisor/(refusedConnDivisor+1)-1, 1)
+}
+
+// NewServer returns a server for the entry. For a connection beyond settings.MaxConnections the one that
+// has waited longest for a request is closed. If none can be spared, the connection receives a refusal
+// and is closed; those more than a tenth beyond the limit are closed without a response.
 func NewServer(settings settings.Entry, entry *Entry, log *zap.Logger) *Server {
 	server := &Server{entry: entry, maxConnections: int64(settings.MaxConnections), refusalPeriod: refusalPeriod, waitingConns: newWaitingConns()}
 	server.SetLameDuckPeriod(settings.LameDuck.Std())
@@ -172,6 +178,10 @@
 	}
 }
 
+// CloseLongestIdle closes the connection that has waited longest for a request, and reports whether one
+// could be spared.
+func (s *Server) CloseLongestIdle() bool { return s.waitingConns.closeLongest(time.Now()) }
+
 // Close closes all connections immediately.
 func (s *Server) Close() error { return s.http.Close() }
 
@@ -206,7 +216,7 @@
 	if conn == nil {
 		return
 	}
-	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 }
@@ -225,6 +235,9 @@
 			return nil, err
 		}
 		number := l.server.openConnections.Add(1)
+		if number > l.server.maxConnections && l.server.CloseLongestIdle() {
+			number = l.server.openConnections.Load()
+		}
 		if number > l.server.maxConnections+max(l.server.maxConnections/refusedConnDivisor, 1) {
 			l.server.openConnections.Add(-1)
 			_ = conn.Close()
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -177,7 +177,7 @@
 		config.WarmUp = 0
 	}
 	a.Leaving = false
-	t := newTarget(a, config, now)
+	t := newTarget(a, config, e.targetConns, now)
 	t.coldUntil = now.Add(a.ColdRemaining.Std())
 	e.targets[a.Instance] = t
 	e.versions[t.key] = append(e.versions[t.key], t)
--- a/mesh/exit/dispatch.go
+++ b/mesh/exit/dispatch.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
@@ -217,8 +218,11 @@
 		c.exit.removeAndNotify(c.target)
 	}
 	r := &refusal{reason: peerpb.RefusalReason_REFUSAL_REASON_NO_TARGET, detail: cause.Error()}
-	if c.ctx.Err() != nil {
+	switch {
+	case c.ctx.Err() != nil:
 		r.reason = peerpb.RefusalReason_REFUSAL_REASON_EXPIRED
+	case limitedconn.IsShortage(cause):
+		r.reason = peerpb.RefusalReason_REFUSAL_REASON_OVERLOADED
 	}
 	return result{kind: notDispatched, refusalSent: c.sendRefusal(r)}
 }
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -12,7 +12,9 @@
 
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/descriptors"
 	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 	"sassafrasnotch.example/mesh/settings"
@@ -29,6 +31,7 @@
 	conventions  Conventions
 	observeWait  func(service string, wait time.Duration)
 	outcomes     outcomes
+	targetConns  *limitedconn.Limit
 
 	changeMu        sync.Mutex      // serializes calls of onChange; locked before mu
 	reportedTargets []gossip.Target // passed to onChange last; guarded by changeMu
@@ -67,6 +70,11 @@
 	return func(e *Exit) { e.conventions = c }
 }
 
+// WithBudget makes the connections to targets count in the budget; without it, they are not limited.
+func WithBudget(budget *descriptors.Budget) Option {
+	return func(e *Exit) { e.targetConns.Budget = budget }
+}
+
 // WithQueueObserver sets the function that receives the queueing time of each request that
 // obtained a slot.
 func WithQueueObserver(observeWait func(service string, wait time.Duration)) Option {
@@ -86,6 +94,7 @@
 		departures:   make(map[string]Departure),
 		onDeparture:  func() {},
 		outcomes:     newOutcomes(self.Zone),
+		targetConns:  &limitedconn.Limit{Budget: descriptors.Unlimited(), Part: descriptors.Targets},
 		targets:      make(map[string]*target),
 		versions:     make(map[versionKey][]*target),
 		crashes:      newCrashTracker(self.Host),
--- a/mesh/exit/target.go
+++ b/mesh/exit/target.go
@@ -6,6 +6,7 @@
 	"sassafrasnotch.example/coord/admission"
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/mesh/admin"
+	"sassafrasnotch.example/mesh/limitedconn"
 )
 
 // target is one announced process. Its fields are guarded by Exit.mu, except
@@ -29,14 +30,14 @@
 	runScheduled bool
 }
 
-func newTarget(a admin.Announcement, config admission.Config, now time.Time) *target {
+func newTarget(a admin.Announcement, config admission.Config, limit *limitedconn.Limit, now time.Time) *target {
 	return &target{
 		Announcement:  a,
 		key:           versionKey{a.Service, a.Version},
 		admission:     admission.NewTarget(config, now),
 		reportedSlots: a.Slots,
 		waiters:       make(map[uint64]chan admission.Action),
-		conns:         newTargetPool(a.Address, a.Slots),
+		conns:         newTargetPool(a.Address, a.Slots, limit),
 	}
 }
 
--- a/mesh/exit/targetpool.go
+++ b/mesh/exit/targetpool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sassafrasnotch.example/mesh/idleconn"
+	"sassafrasnotch.example/mesh/limitedconn"
 )
 
 const (
@@ -25,14 +26,15 @@
 type targetPool struct {
 	address string
 	maxIdle int
+	limit   *limitedconn.Limit
 
 	mu     sync.Mutex
 	idle   []*targetConn // ordered by the time of last use, latest at the end
 	closed bool
 }
 
-func newTargetPool(address string, slots int) *targetPool {
-	return &targetPool{address: address, maxIdle: min(max(slots, 1), maxIdleConnections)}
+func newTargetPool(address string, slots int, limit *limitedconn.Limit) *targetPool {
+	return &targetPool{address: address, limit: limit, maxIdle: min(max(slots, 1), maxIdleConnections)}
 }
 
 // get returns an idle connection that is neither expired nor closed by the target, or opens one.
@@ -49,7 +51,7 @@
 
 func (p *targetPool) dial(ctx context.Context) (*targetConn, error) {
 	dialer := net.Dialer{Timeout: targetDialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", p.address)
+	conn, err := p.limit.Dial(ctx, dialer.DialContext, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
--- a/mesh/peer/dial.go
+++ b/mesh/peer/dial.go
@@ -22,7 +22,7 @@
 func (p *Pool) connect(ctx context.Context, key remoteKey, carries peerpb.StreamKind) (net.Conn, *peerpb.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	tcpConn, err := p.dialer().DialContext(ctx, "tcp", key.address)
+	tcpConn, err := p.limit.Dial(ctx, p.dialer().DialContext, "tcp", key.address)
 	if err != nil {
 		return nil, nil, stepError(ErrDial, "connect", key.host, err)
 	}
--- a/mesh/peer/peer_test.go
+++ b/mesh/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -9,6 +10,8 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/descriptors"
+	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 	"sassafrasnotch.example/mesh/settings"
@@ -130,3 +133,22 @@
 	is.Equal(string(roundTrip(t, stream, 1, "swan").GetAnswer().InlineBody), "swan")
 	stream.Release()
 }
+
+func TestIdleStreamIsClosedWhenTheBudgetIsUsedUp(t *testing.T) {
+	is := is.New(t)
+	_, first, pool := startServer(t, peerSettings(), requestHandlerFunc(echoRequest))
+	_, second, _ := startServer(t, peerSettings(), requestHandlerFunc(echoRequest))
+	budget := descriptors.NewBudget(64)
+	pool.UseBudget(budget)
+	stream, err := pool.OpenStream(testContext(t), "h2", first)
+	is.NoErr(err)
+	is.Equal(string(roundTrip(t, stream, 1, "swan").GetAnswer().InlineBody), "swan")
+	stream.Release()
+	for budget.Acquire(descriptors.PeersDialed) {
+	}
+	stream, err = pool.OpenStream(testContext(t), "h2", second)
+	is.NoErr(err)
+	defer stream.Release()
+	_, err = pool.OpenStream(testContext(t), "h2", first)
+	is.True(errors.Is(err, limitedconn.ErrNoDescriptor))
+}
--- a/mesh/peer/pool.go
+++ b/mesh/peer/pool.go
@@ -10,6 +10,8 @@
 
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/descriptors"
+	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 	"sassafrasnotch.example/mesh/settings"
 )
@@ -26,6 +28,7 @@
 	log          *zap.Logger
 	controlBytes byteCounts
 	security     Security // nil if connections are not secured
+	limit        limitedconn.Limit
 
 	mu      sync.Mutex
 	remotes map[remoteKey]*remoteDaemon
@@ -40,13 +43,35 @@
 // NewPool returns a pool of the daemon self. It opens connections when they are first needed; Close
 // closes them.
 func NewPool(self Identity, s settings.Peer, log *zap.Logger) *Pool {
-	return &Pool{
+	p := &Pool{
 		self:     self,
 		settings: s,
 		log:      log,
 		remotes:  make(map[remoteKey]*remoteDaemon),
 		done:     make(chan struct{}),
 	}
+	p.UseBudget(descriptors.Unlimited())
+	return p
+}
+
+// UseBudget makes the connections of the pool count in the budget. At its bound the pool closes the
+// request connection that has been idle for longest. It must be called before the first connection is
+// opened.
+func (p *Pool) UseBudget(budget *descriptors.Budget) {
+	p.limit = limitedconn.Limit{Budget: budget, Part: descriptors.PeersDialed, MakeRoom: p.closeLongestIdle}
+}
+
+// closeLongestIdle closes the request connection that has been idle for longest, and reports whether
+// there was one.
+func (p *Pool) closeLongestIdle() bool {
+	var longest *streamPool
+	var since time.Time
+	for _, r := range p.remoteDaemons() {
+		if idleSince, ok := r.streams.longestIdle(); ok && (longest == nil || idleSince.Before(since)) {
+			longest, since = r.streams, idleSince
+		}
+	}
+	return longest != nil && longest.closeLongestIdle()
 }
 
 // SetLocalHandlers sets the handlers of requests to the local host, which are served without a TCP
--- a/mesh/peer/streampool.go
+++ b/mesh/peer/streampool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -170,6 +171,31 @@
 	p.inUse--
 }
 
+// longestIdle returns since when the stream that was not used for longest has been idle, if there is an
+// idle one.
+func (p *streamPool) longestIdle() (since time.Time, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return time.Time{}, false
+	}
+	return p.idle[0].idleSince, true
+}
+
+// closeLongestIdle closes the stream that has been idle for longest, and reports whether there was one.
+func (p *streamPool) closeLongestIdle() bool {
+	p.mu.Lock()
+	if len(p.idle) == 0 {
+		p.mu.Unlock()
+		return false
+	}
+	s := p.idle[0]
+	p.idle = slices.Delete(p.idle, 0, 1)
+	p.mu.Unlock()
+	s.conn.Close()
+	return true
+}
+
 // closeIdle closes all idle streams.
 func (p *streamPool) closeIdle() { p.closeExpired(time.Now().Add(idleStreamTimeout)) }
 
--- a/mesh/settings/settings.go
+++ b/mesh/settings/settings.go
@@ -70,7 +70,8 @@
 	MaxHeaderBytes int `json:"maxHeaderBytes" validate:"min=1024,max=1048576"`
 	// MaxBodyBytes bounds the size of a request body.
 	MaxBodyBytes int64 `json:"maxBodyBytes" validate:"min=0"`
-	// MaxConnections bounds the number of open connections from callers.
+	// MaxConnections bounds the number of open connections from callers, as does the number of
+	// descriptors that the process may open.
 	MaxConnections int `json:"maxConnections" validate:"min=1"`
 	// LameDuck is the time for which a stopping daemon continues to serve new requests, so that
 	// callers can choose another daemon; with 0 it refuses new requests at once.
