Hold a shortage on this host against no other host

Cause: a failed dial delayed the next ones to the host, and the entry avoided and in the end ejected it, whatever the error said. A shortage of descriptors, memory or local ports, and the limit on streams to a host, now end the attempt with the reason local-limit, start no delay and leave the host's record alone.

--- a/mesh/daemon/requests.go
+++ b/mesh/daemon/requests.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"go.uber.org/fx"
@@ -14,6 +16,7 @@
 	"sassafrasnotch.example/mesh/claim"
 	"sassafrasnotch.example/mesh/entry"
 	"sassafrasnotch.example/mesh/exit"
+	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/membership"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/report"
@@ -94,6 +97,9 @@
 func (d dialer) OpenStream(ctx context.Context, host, address string) (entry.Stream, error) {
 	stream, err := d.pool.OpenStream(ctx, host, address)
 	if err != nil {
+		if limitedconn.IsShortage(err) || errors.Is(err, peer.ErrLimit) {
+			err = fmt.Errorf("%w: %w", entry.ErrLocalLimit, err)
+		}
 		return nil, err
 	}
 	return stream, nil
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -42,9 +43,13 @@
 	Discard()
 }
 
+// ErrLocalLimit means that this daemon, not the host, is short of what a stream needs.
+var ErrLocalLimit = errors.New("entry: a limit of this daemon is reached")
+
 // Dialer opens streams to the daemons of other hosts and to the local one.
 type Dialer interface {
-	// OpenStream returns a stream on which no byte has been sent.
+	// OpenStream returns a stream on which no byte has been sent. An error that says nothing about the
+	// host wraps ErrLocalLimit.
 	OpenStream(ctx context.Context, host, address string) (Stream, error)
 }
 
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -131,6 +131,9 @@
 	if e.request.cancelled() || !time.Now().Before(e.request.deadline) {
 		return refused(ReasonExpired, stepOpen, err.Error()).withPeer(e.endpoint.Host)
 	}
+	if errors.Is(err, ErrLocalLimit) {
+		return refused(ReasonLocalLimit, stepOpen, err.Error()).withPeer(e.endpoint.Host)
+	}
 	failed := refused(ReasonUnreachable, stepOpen, err.Error()).withPeer(e.endpoint.Host)
 	failed.silent = isTimeout(err) || errors.Is(err, context.DeadlineExceeded)
 	return failed
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -76,10 +76,10 @@
 	silent bool
 }
 
-// withoutTarget reports whether the host had no target to run the request, so that the
-// attempt cost no target anything.
+// withoutTarget reports whether the host had no target to run the request, or was not asked, so that
+// the attempt cost no target anything.
 func (f *failure) withoutTarget() bool {
-	return f.outcome == retry.Refused && f.reason.hostUnavailable()
+	return f.outcome == retry.Refused && (f.reason.hostUnavailable() || f.reason == ReasonLocalLimit)
 }
 
 // refused returns the failure of a request that certainly was not run.
--- a/mesh/entry/reason.go
+++ b/mesh/entry/reason.go
@@ -34,6 +34,8 @@
 	ReasonLimit Reason = "limit"
 	// ReasonUnreachable means that no stream to the host could be opened.
 	ReasonUnreachable Reason = "unreachable"
+	// ReasonLocalLimit means that this daemon is short of descriptors, or of streams to the host.
+	ReasonLocalLimit Reason = "local-limit"
 	// ReasonNoRoute means that no route matches the request.
 	ReasonNoRoute Reason = "no-route"
 	// ReasonBadRequest means that the path or a header field of the request is malformed.
--- a/mesh/peer/backoff.go
+++ b/mesh/peer/backoff.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"sassafrasnotch.example/mesh/limitedconn"
 )
 
 // Bounds of the delay, with jitter, after a failed dial.
@@ -40,8 +42,12 @@
 	return nil
 }
 
-// record records the result of a dial. Failures of dials that ran concurrently count once.
+// record records the result of a dial. Failures of dials that ran concurrently count once; those that
+// arose on this host don't count.
 func (b *dialBackoff) record(err error) {
+	if limitedconn.IsShortage(err) {
+		return
+	}
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/mesh/peer/peer_test.go
+++ b/mesh/peer/peer_test.go
@@ -152,3 +152,19 @@
 	_, err = pool.OpenStream(testContext(t), "h2", first)
 	is.True(errors.Is(err, limitedconn.ErrNoDescriptor))
 }
+
+func TestShortageOnThisHostDelaysNoLaterDial(t *testing.T) {
+	is := is.New(t)
+	_, address, pool := startServer(t, peerSettings(), requestHandlerFunc(echoRequest))
+	budget := descriptors.NewBudget(64)
+	pool.UseBudget(budget)
+	for budget.Acquire(descriptors.PeersDialed) {
+	}
+	_, err := pool.OpenStream(testContext(t), "h2", address)
+	is.True(errors.Is(err, limitedconn.ErrNoDescriptor))
+	budget.Release(descriptors.PeersDialed)
+	stream, err := pool.OpenStream(testContext(t), "h2", address)
+	is.NoErr(err)
+	is.Equal(string(roundTrip(t, stream, 1, "swan").GetAnswer().InlineBody), "swan")
+	stream.Release()
+}
