Say not ready while a port accepts no connection

Cause: readiness asked for configuration, targets and peers, and never for what accepting does. A port whose accepts have failed for longer than half a second now makes the daemon not ready, until one succeeds, and both are logged.

TestDaemonThatCannotAcceptConnectionsIsNotReady and TestPortsAreNotAcceptingWhileAcceptsFail have nothing to call before.

--- a/mesh/acceptor/listener_test.go
+++ b/mesh/acceptor/listener_test.go
@@ -55,3 +55,18 @@
 	_, err = failing(syscall.EINVAL).Accept()
 	is.True(errors.Is(err, syscall.EINVAL))
 }
+
+func TestPortsAreNotAcceptingWhileAcceptsFail(t *testing.T) {
+	is := is.New(t)
+	l := failing()
+	p := &Ports{listeners: []*Listener{failing(), l}}
+	now := time.Now()
+	is.True(p.Accepting(now))
+	l.recordFailure(syscall.EMFILE)
+	is.True(p.Accepting(now.Add(maxAcceptFailure / 2)))
+	l.recordFailure(syscall.EMFILE)
+	is.True(!p.Accepting(now.Add(2 * maxAcceptFailure)))
+	_, err := l.Accept()
+	is.NoErr(err)
+	is.True(p.Accepting(now.Add(2 * maxAcceptFailure)))
+}
--- a/mesh/acceptor/ports.go
+++ b/mesh/acceptor/ports.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -40,6 +41,22 @@
 	return l, nil
 }
 
+// maxAcceptFailure is the longest time for which accepts of a port may fail while the port counts as
+// accepting.
+const maxAcceptFailure = 500 * time.Millisecond
+
+// Accepting reports whether every port accepts connections.
+func (p *Ports) Accepting(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.listeners {
+		if since := l.failingSince.Load(); since != 0 && now.Sub(time.Unix(0, since)) > maxAcceptFailure {
+			return false
+		}
+	}
+	return true
+}
+
 // Failures returns the number of failed accepts of each port since the start of the daemon.
 func (p *Ports) Failures() map[string]uint64 {
 	p.mu.Lock()
--- a/mesh/daemon/readiness.go
+++ b/mesh/daemon/readiness.go
@@ -10,6 +10,7 @@
 
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/mesh/acceptor"
 	"sassafrasnotch.example/mesh/membership"
 )
 
@@ -18,14 +19,16 @@
 const targetWait = 4 * time.Second
 
 // readiness determines whether the daemon is ready for requests: from the time at which it has a
-// configuration and knows targets, until it begins to stop, except while it is isolated: its callers
-// are served better elsewhere.
+// configuration and knows targets, until it begins to stop, except while it is isolated or can't accept
+// connections: its callers are served better elsewhere.
 type readiness struct {
 	configuration configuration
 	members       memberView
+	ports         portView
 	logger        *zap.Logger
 	stopping      atomic.Bool
 	isolated      atomic.Bool // as last observed
+	notAccepting  atomic.Bool // as last observed
 
 	mu           sync.Mutex
 	becameReady  bool
@@ -39,13 +42,33 @@
 	Isolated() bool
 }
 
-func newReadiness(c configuration, members *membership.Membership, logger *zap.Logger) *readiness {
-	return &readiness{configuration: c, members: members, logger: logger}
+// portView is what readiness depends on of the ports.
+type portView interface {
+	// Accepting reports whether every port accepts connections.
+	Accepting(now time.Time) bool
+}
+
+func newReadiness(c configuration, members *membership.Membership, ports *acceptor.Ports, logger *zap.Logger) *readiness {
+	return &readiness{configuration: c, members: members, ports: ports, logger: logger}
 }
 
 // Ready reports whether the daemon is ready for requests.
 func (r *readiness) Ready() bool {
-	return !r.stopping.Load() && r.readyAt(time.Now()) && !r.observeIsolation()
+	now := time.Now()
+	return !r.stopping.Load() && r.readyAt(now) && !r.observeIsolation() && r.observeAccepting(now)
+}
+
+// observeAccepting reports whether the ports accept connections, and logs changes.
+func (r *readiness) observeAccepting(now time.Time) bool {
+	accepting := r.ports.Accepting(now)
+	if r.notAccepting.Swap(!accepting) == accepting {
+		if accepting {
+			r.logger.Info("all ports accept connections again")
+		} else {
+			r.logger.Warn("a port does not accept connections, not ready")
+		}
+	}
+	return accepting
 }
 
 // observeIsolation reports whether this host is isolated, and logs changes.
--- a/mesh/daemon/readiness_test.go
+++ b/mesh/daemon/readiness_test.go
@@ -35,12 +35,28 @@
 
 func (m *isolatedMembers) Isolated() bool { return m.isolated }
 
+// acceptingPorts are ports that all accept connections, or do not.
+type acceptingPorts bool
+
+func (p acceptingPorts) Accepting(time.Time) bool { return bool(p) }
+
+func TestDaemonThatCannotAcceptConnectionsIsNotReady(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zap.InfoLevel)
+	r := &readiness{members: &isolatedMembers{}, logger: zap.New(core), becameReady: true}
+	for _, accepting := range []bool{true, false, false, true, true} {
+		r.ports = acceptingPorts(accepting)
+		is.Equal(r.Ready(), accepting)
+	}
+	is.Equal(logs.Len(), 2) // one line for each change
+}
+
 // A daemon that can't reach the others sends its callers elsewhere, and takes them back.
 func TestIsolatedDaemonIsNotReady(t *testing.T) {
 	is := is.New(t)
 	core, logs := observer.New(zap.InfoLevel)
 	members := &isolatedMembers{}
-	r := &readiness{members: members, logger: zap.New(core), becameReady: true}
+	r := &readiness{members: members, ports: acceptingPorts(true), logger: zap.New(core), becameReady: true}
 	for _, isolated := range []bool{false, true, true, false, false} {
 		members.isolated = isolated
 		is.Equal(r.Ready(), !isolated)
