Notice a caller's close behind bytes that nobody reads

Callers that left while their request waited had it sent on or worked at all the same, if more than 16 KiB of its body, or of requests pipelined behind it, were unread: no read was pending that could meet the close. While a body is uploaded or the read-ahead is full, the connection now looks at the state of its socket every 100 ms and cancels its requests after a close.

TestCloseHiddenBehindUnreadBytesCancelsTheRequest failed before in all three cases (not cancelled within 1 s).

--- a/mesh/entry/body.go
+++ b/mesh/entry/body.go
@@ -89,6 +89,7 @@
 		return nil
 	}
 	c.uploading = true
+	c.conn.watchBody()
 	_ = c.control.EnableFullDuplex()
 	u := &upload{done: make(chan struct{})}
 	go func() {
--- a/mesh/entry/callerconn.go
+++ b/mesh/entry/callerconn.go
@@ -18,6 +18,9 @@
 	// backgroundReadLength is the length of the read by which net/http watches a connection while
 	// a request is served, in bytes.
 	backgroundReadLength = 1
+	// closeCheckInterval is the interval between two looks at the socket of a connection whose close unread
+	// bytes may hide.
+	closeCheckInterval = 100 * time.Millisecond
 	// readAheadChunk is the length of one read ahead, in bytes.
 	readAheadChunk = 4 << 10
 )
@@ -30,7 +33,9 @@
 // further requests early (see prefetch). For that, it hands net/http one message at a time for as
 // long as the caller sends requests without a body. After another one, it reads ahead only to notice
 // the close and whether a further request has begun; it still ends what it hands over with a message
-// where the end is stated, and hands over all bytes as they come where it is not.
+// where the end is stated, and hands over all bytes as they come where it is not. While no read can
+// notice the close, behind a body that is not read yet or more than readAheadBytes, it looks at the state
+// of the socket from time to time.
 type countedConn struct {
 	net.Conn
 	entry     *Entry
@@ -53,6 +58,7 @@
 	remaining int
 	serving   bool  // a request is served
 	reading   bool  // readAhead runs
+	watching  bool  // watchClose is scheduled
 	readErr   error // why readAhead ended, unless by a time-out
 	// prefetches are the requests started early, in the order in which net/http will read them.
 	prefetches []*prefetch
@@ -191,6 +197,9 @@
 	defer c.mutex.Unlock()
 	started := c.takePrefetch(request)
 	c.serving = true
+	if len(c.buffer) >= readAheadBytes {
+		c.startWatch()
+	}
 	if !c.raw && len(c.partial)+len(c.buffer) > 0 {
 		c.startReadAhead()
 		c.startPrefetches()
@@ -210,6 +219,9 @@
 // startReadAhead reads ahead in a goroutine of its own unless it does so already or the buffer is
 // full. The caller holds mutex.
 func (c *countedConn) startReadAhead() {
+	if len(c.buffer) >= readAheadBytes {
+		c.startWatch()
+	}
 	if c.reading || c.readErr != nil || len(c.buffer) >= readAheadBytes {
 		return
 	}
@@ -237,6 +249,42 @@
 		c.startPrefetches()
 	}
 	c.reading = false
+	c.startWatch()
+}
+
+// watchBody looks for the close while the body of the request served is read as its host takes it. The
+// connection may be nil.
+func (c *countedConn) watchBody() {
+	if c == nil {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.startWatch()
+}
+
+// startWatch schedules watchClose unless it is scheduled. The caller holds mutex.
+func (c *countedConn) startWatch() {
+	if c.watching {
+		return
+	}
+	c.watching = true
+	time.AfterFunc(closeCheckInterval, c.watchClose)
+}
+
+// watchClose cancels the requests of the connection if the caller has closed it, and looks again later
+// for as long as a request is served.
+func (c *countedConn) watchClose() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.watching = false
+	switch {
+	case !c.serving || c.ctx.Err() != nil:
+	case c.closedByCaller():
+		c.cancel()
+	default:
+		c.startWatch()
+	}
 }
 
 // startClosing reports whether the connection may be closed after the current response, and if so
--- a/mesh/entry/departed_test.go
+++ b/mesh/entry/departed_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+
+	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
 // heldConn holds reads back until the channel is closed, as a daemon short of processor time does.
@@ -82,3 +84,40 @@
 		})
 	}
 }
+
+func TestCloseHiddenBehindUnreadBytesCancelsTheRequest(t *testing.T) {
+	tests := []struct {
+		name    string
+		request string
+	}{
+		{"behind a body", "POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 80_000)},
+		{"behind pipelined requests", strings.Repeat("GET /catalog HTTP/1.1\r\nHost: x\r\n\r\n", 2*readAheadBytes/20)},
+		{"behind pipelined requests after a body", "POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc" +
+			strings.Repeat("GET /catalog HTTP/1.1\r\nHost: x\r\n\r\n", 2*readAheadBytes/20)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			began, release := make(chan struct{}, maxPrefetches+1), make(chan struct{})
+			defer close(release)
+			holds := func(*pipeStream, *peerpb.CallHead, uint64) { // reads nothing, as while a request is queued
+				began <- struct{}{}
+				<-release
+			}
+			f := newFixture(t, testSettings(), nil, twoHosts(holds, holds))
+			conn := dial(t, f)
+			_, err := io.WriteString(conn, test.request)
+			is.NoErr(err)
+			<-began
+			time.Sleep(100 * time.Millisecond)
+			is.NoErr(conn.Close())
+			deadline := time.Now().Add(time.Second)
+			for !f.hosts.allDiscarded() {
+				if time.Now().After(deadline) {
+					t.Fatal("the request goes on after its caller has left")
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
--- a/mesh/entry/fixture_test.go
+++ b/mesh/entry/fixture_test.go
@@ -104,6 +104,18 @@
 	return len(f.heads)
 }
 
+// allDiscarded reports whether the entry has discarded every stream that it opened.
+func (f *fakeHosts) allDiscarded() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, stream := range f.streams {
+		if !stream.discarded.Load() {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *fakeHosts) set(host string, serve hostHandler) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
