--- a/mesh/acceptor/listener.go
+++ b/mesh/acceptor/listener.go
@@ -30,9 +30,9 @@
 func (l *Listener) OnFull(makeRoom func() bool) { l.limit.MakeRoom = makeRoom }
 
 // Accept implements net.Listener. A connection beyond the budget is closed at once: in the queue of the
-// kernel its caller would wait for nothing. Accept does not return an error that says that the process or the host
-// is short of descriptors or memory, since a server ends or pauses on an error; it tries again until it
-// succeeds.
+// kernel its caller would wait for nothing. After an error that says that the process or the host is short
+// of descriptors or memory, Accept tries again until it succeeds, since a server ends or pauses on an
+// error.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
