Record no service time for a request that was not dispatched

Cause: requests that the exit drops because their entry has left freed their slot as if they had run, for almost no time. The estimate of the service time fell, and admission let in more than the queue could serve in time. A dial to the target that failed had the same effect before. Such requests now free their slot without a service time, as those that leave the queue do.

TestRequestsThatWereNotDispatchedDoNotShortenTheServiceTime failed before.

--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -173,7 +173,7 @@
 	e.deliver(c.target, c.target.admission.Release(now), now)
 }
 
-// release frees the slot of a request that ran for the elapsed time.
+// release frees the slot of a request, which ran for the elapsed time if it was dispatched.
 func (e *Exit) release(c *callerRequest, r result, elapsed time.Duration) {
 	now := time.Now()
 	e.mu.Lock()
@@ -183,7 +183,11 @@
 	if r.kind == responded || c.ctx.Err() == nil { // a deadline shows nothing about the target
 		c.target.admission.RecordResult(r.failed(), now)
 	}
-	e.deliver(c.target, c.target.admission.Complete(c.head.Route, elapsed, now), now)
+	if c.dispatched {
+		e.deliver(c.target, c.target.admission.Complete(c.head.Route, elapsed, now), now)
+	} else {
+		e.deliver(c.target, c.target.admission.Release(now), now)
+	}
 	e.mu.Unlock()
 	e.endInFlight()
 }
--- a/mesh/exit/callerleft_test.go
+++ b/mesh/exit/callerleft_test.go
@@ -51,3 +51,34 @@
 		})
 	}
 }
+
+func TestRequestsThatWereNotDispatchedDoNotShortenTheServiceTime(t *testing.T) {
+	const work = 50 * time.Millisecond
+	is := is.New(t)
+	fx := newFixture(t)
+	began := make(chan struct{}, 1)
+	fx.target(1, func(http.ResponseWriter, *http.Request) {
+		began <- struct{}{}
+		time.Sleep(work)
+	})
+	serviceTime := func() time.Duration {
+		stream := fx.send(requestHead("GET", "/lookup", ""))
+		defer stream.Release()
+		<-began
+		return time.Duration(receive(t, stream).GetAnswer().GetLoad().GetServiceMicros()) * time.Microsecond
+	}
+	serviceTime()
+	for range 8 {
+		running := fx.send(requestHead("GET", "/lookup", ""))
+		<-began
+		head := requestHead("POST", "/order", "start")
+		head.Complete, head.ContentLength = false, 100_000
+		left := fx.send(head)
+		time.Sleep(work / 5) // it is queued
+		left.Discard()
+		is.True(receive(t, running).GetAnswer() != nil)
+		running.Release()
+	}
+	serviceTime()
+	is.True(serviceTime() >= work)
+}
