--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -92,14 +93,15 @@
 	return f, nil
 }
 
-// freePort returns a port that is free for TCP and UDP at an address.
+// freePort returns a port that is free for TCP and UDP at an address, below those that the system gives to
+// outgoing connections.
 func freePort(ip string) int {
-	for range 100 {
-		listener, err := net.Listen("tcp", ip+":0")
+	for range 1000 {
+		port := 20000 + rand.IntN(12000)
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
 		if err != nil {
-			panic(err)
+			continue
 		}
-		port := listener.Addr().(*net.TCPAddr).Port
 		packets, err := net.ListenPacket("udp", fmt.Sprintf("%s:%d", ip, port))
 		listener.Close()
 		if err == nil {
@@ -192,6 +194,9 @@
 	end := time.Now().Add(limit)
 	for _, m := range f.machines {
 		for !m.isReady() {
+			if !m.running() {
+				return fmt.Errorf("the daemon of %s ended", m.name)
+			}
 			if time.Now().After(end) {
 				return fmt.Errorf("the daemon of %s is not ready within %v", m.name, limit)
 			}
