Review case 3: a departure that the restarted daemon can't read is not kept

Shown by review/3/run.sh: a worker deregisters, is confirmed, and its departure is in the store; the store goes silent, the daemon beside the worker is killed and starts again, and the worker's last heartbeat arrives 3 s late. Orders that this machine takes reach the worker until it exits (DRAIN).

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(root string, rec *record, trouble bool) (int, error){
 	"early-answer":        earlyAnswer,
 	"forgotten-departure": forgottenDeparture,
+	"unread-departure":    unreadDeparture,
 }
 
 func main() {
