--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,8 @@
 	"early-answer":        earlyAnswer,
 	"forgotten-departure": forgottenDeparture,
 	"unread-departure":    unreadDeparture,
+	"added-route":         addedRoute,
+	"unnamed-answer":      unnamedAnswer,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -29,7 +29,9 @@
 	sequence int
 	state    string
 	conns    map[net.Conn]bool
-	garbled  int
+	// garbles is set while the worker spoils answers; garbled of its answers since then were spoiled.
+	garbles          bool
+	garbled, answers int
 
 	ctx    context.Context
 	cancel context.CancelFunc
