--- a/coord/revision/resource.go
+++ b/coord/revision/resource.go
@@ -47,6 +47,9 @@
 	KindRoute   Kind = "route"
 	KindSplit   Kind = "split"
 	KindLimits  Kind = "limits"
+	KindTenant  Kind = "tenant"
+	// KindEvacuation is that of a zone that is to receive no requests.
+	KindEvacuation Kind = "evacuation"
 )
 
 // Ref identifies a resource. The name of a version is "service/version".
@@ -91,6 +94,10 @@
 	// HealthPath is the path under which a target responds with status 200 for as long as it stays; empty
 	// if targets have none.
 	HealthPath string `json:"healthPath,omitempty"`
+	// ColdRate is the number of requests per second that a cold target tolerates; 0 means no bound.
+	ColdRate float64 `json:"coldRate,omitempty"`
+	// ColdDuration is how long a target is cold after its start, where the target does not state it.
+	ColdDuration Duration `json:"coldDuration,omitempty"`
 }
 
 // AnyVersion in a split stands for every version of the service that the split does not list
@@ -139,6 +146,33 @@
 	// Split divides the route's requests over services by weight. If it is set, Service is
 	// empty.
 	Split []ServiceShare `json:"split,omitempty"`
+	// Public means that requests need no API key, where the configuration has tenants.
+	Public bool `json:"public,omitempty"`
+	// Regions lists the regions to which requests and their bodies may be sent; empty means any.
+	Regions []string `json:"regions,omitempty"`
+}
+
+// Tenant is a customer of the operator, whose requests carry one of its API keys.
+type Tenant struct {
+	Name string `json:"name"`
+	// KeyHashes are the SHA-256 hashes of the tenant's API keys, in lower-case hexadecimal digits. The keys
+	// themselves are not kept.
+	KeyHashes []string `json:"keyHashes,omitempty"`
+	// Rate and Burst limit the requests of the tenant at all daemons together: a token bucket that holds
+	// Burst requests and is refilled at Rate requests per second. Rate 0 means no limit.
+	Rate  float64 `json:"rate,omitempty"`
+	Burst float64 `json:"burst,omitempty"`
+	// Priority orders requests for load shedding before Route.Priority does; those of lower priority are
+	// shed first.
+	Priority int `json:"priority,omitempty"`
+	// Regions lists the regions to which the tenant's requests and their bodies may be sent; empty means
+	// any.
+	Regions []string `json:"regions,omitempty"`
+}
+
+// Evacuation states that the targets of an availability zone are to receive no requests.
+type Evacuation struct {
+	Zone string `json:"zone"`
 }
 
 // ServiceShare is the part of a route's requests that a service receives.
@@ -231,7 +265,9 @@
 	Route   *Route   `json:"route,omitempty"`
 	Split   *Split   `json:"split,omitempty"`
 	// Limits apply to all callers.
-	Limits *CallerLimits `json:"limits,omitempty"`
+	Limits     *CallerLimits `json:"limits,omitempty"`
+	Tenant     *Tenant       `json:"tenant,omitempty"`
+	Evacuation *Evacuation   `json:"evacuation,omitempty"`
 }
 
 // Ref returns the identity of the resource, or the zero Ref if none is set.
@@ -247,6 +283,10 @@
 		return Ref{KindSplit, r.Split.Service}
 	case r.Limits != nil:
 		return Ref{KindLimits, callerLimitsName}
+	case r.Tenant != nil:
+		return Ref{KindTenant, r.Tenant.Name}
+	case r.Evacuation != nil:
+		return Ref{KindEvacuation, r.Evacuation.Zone}
 	}
 	return Ref{}
 }
--- a/coord/revision/snapshot.go
+++ b/coord/revision/snapshot.go
@@ -28,6 +28,9 @@
 	entries  map[Ref]Entry
 	prefixes map[prefixKey]*Route // index for Match
 	rollouts []*Split             // splits with a running rollout, sorted by service
+	tenants  []*Tenant            // sorted by name
+	// keyHolders are the tenants by the hashes of their API keys.
+	keyHolders map[string]*Tenant
 }
 
 // prefixKey is the host name and path prefix of a route; an empty host matches any host name.
@@ -204,7 +207,14 @@
 		return fmt.Errorf("%w: %w", ErrInvalid, errors.Join(problems...))
 	}
 	s.prefixes = make(map[prefixKey]*Route)
+	s.keyHolders = make(map[string]*Tenant)
 	for _, entry := range s.entries {
+		if entry.Tenant != nil {
+			s.tenants = append(s.tenants, entry.Tenant)
+			for _, hash := range entry.Tenant.KeyHashes {
+				s.keyHolders[hash] = entry.Tenant
+			}
+		}
 		if entry.Route != nil {
 			s.prefixes[prefixKey{entry.Route.Host, entry.Route.Prefix}] = entry.Route
 		}
@@ -212,6 +222,7 @@
 			s.rollouts = append(s.rollouts, entry.Split)
 		}
 	}
+	sort.Slice(s.tenants, func(i, j int) bool { return s.tenants[i].Name < s.tenants[j].Name })
 	sort.Slice(s.rollouts, func(i, j int) bool { return s.rollouts[i].Service < s.rollouts[j].Service })
 	return nil
 }
