Treat a status outside 100 to 599 as no response

Callers could get bytes from the body of a response with the status 000 or 099 as the response to their request, or wait for it until the deadline: the exit skipped such a response as an informational one and read its body as the next head. Statuses of 600 and more were passed on to the entry.

Change: such a response, and an informational one that states a body, ends the exchange with an unknown outcome and closes the connection. In the store's client it no longer proves that a write had no effect.

--- a/mesh/exit/targetconn.go
+++ b/mesh/exit/targetconn.go
@@ -25,6 +25,8 @@
 	errWritesDisabled = errors.New("the request was abandoned before it was written")
 	errHeaderTooLarge = errors.New("the header of the response exceeds the size limit")
 	errInformational  = errors.New("the target sent too many informational responses")
+	errInvalidStatus  = errors.New("the status of the response is outside 100 to 599")
+	errHeadWithBody   = errors.New("the target sent an informational response with a body")
 )
 
 // pastDeadline is a deadline that aborts pending reads and writes at once.
@@ -186,6 +188,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkStatus(response); err != nil {
+			return nil, err
+		}
 		if isFinal(response.StatusCode) {
 			c.readRemaining = math.MaxInt64
 			return response, nil
@@ -194,6 +199,31 @@
 	return nil, errInformational
 }
 
+// The statuses of HTTP (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// checkStatus returns an error for a response that is none in HTTP. What follows on its connection can't be
+// told apart from its body, so that the connection is of no further use.
+func checkStatus(response *http.Response) error {
+	switch {
+	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
+		return errInvalidStatus
+	case !isFinal(response.StatusCode) && statesBody(response):
+		return errHeadWithBody
+	}
+	return nil
+}
+
+// statesBody reports whether the header of an informational response, which net/http reads without a body,
+// states one.
+func statesBody(response *http.Response) bool {
+	length := response.Header.Get("Content-Length")
+	return length != "" && length != "0" || len(response.TransferEncoding) > 0 || response.Header.Get("Transfer-Encoding") != ""
+}
+
 func isFinal(status int) bool {
 	return status >= http.StatusOK || status == http.StatusSwitchingProtocols
 }
