Admit requests by the API keys of tenants

Cause: the configuration of the platform has tenants with API keys, and a request without a valid key must reach no target. The daemon ignored the field and passed keys on to targets.

An entry that has tenants answers 401 with the reason unauthorized to a missing, malformed, repeated, over-long or unknown key, unless the route is public. It forwards neither the field Authorization nor a caller's own tenant field in any spelling, states the tenant to the target and in CallHead, and orders requests by the tenant's priority before the route's. Without tenants the headers and the priority stay as they were.

--- a/coord/revision/check.go
+++ b/coord/revision/check.go
@@ -12,6 +12,7 @@
 func (s *Snapshot) check() []error {
 	var problems []error
 	prefixes := make(map[prefixKey]string)
+	keyHolders := make(map[string]string)
 	for _, entry := range s.Entries() {
 		switch {
 		case entry.Service != nil:
@@ -24,6 +25,8 @@
 			problems = append(problems, s.checkSplit(entry.Split)...)
 		case entry.Limits != nil:
 			problems = append(problems, checkLimits(entry.Limits)...)
+		case entry.Tenant != nil:
+			problems = append(problems, checkTenant(entry.Tenant, keyHolders)...)
 		}
 	}
 	return problems
--- a/coord/revision/snapshot.go
+++ b/coord/revision/snapshot.go
@@ -31,6 +31,8 @@
 	tenants  []*Tenant            // sorted by name
 	// keyHolders are the tenants by the hashes of their API keys.
 	keyHolders map[string]*Tenant
+	// topPriority is the highest priority of a tenant.
+	topPriority int
 }
 
 // prefixKey is the host name and path prefix of a route; an empty host matches any host name.
@@ -207,13 +209,9 @@
 		return fmt.Errorf("%w: %w", ErrInvalid, errors.Join(problems...))
 	}
 	s.prefixes = make(map[prefixKey]*Route)
-	s.keyHolders = make(map[string]*Tenant)
 	for _, entry := range s.entries {
 		if entry.Tenant != nil {
 			s.tenants = append(s.tenants, entry.Tenant)
-			for _, hash := range entry.Tenant.KeyHashes {
-				s.keyHolders[hash] = entry.Tenant
-			}
 		}
 		if entry.Route != nil {
 			s.prefixes[prefixKey{entry.Route.Host, entry.Route.Prefix}] = entry.Route
@@ -222,7 +220,7 @@
 			s.rollouts = append(s.rollouts, entry.Split)
 		}
 	}
-	sort.Slice(s.tenants, func(i, j int) bool { return s.tenants[i].Name < s.tenants[j].Name })
+	s.indexTenants()
 	sort.Slice(s.rollouts, func(i, j int) bool { return s.rollouts[i].Service < s.rollouts[j].Service })
 	return nil
 }
--- a/mesh/entry/conventions.go
+++ b/mesh/entry/conventions.go
@@ -12,10 +12,13 @@
 	// OriginHeader names the field that states to targets the service of the host whose entry
 	// sent the request; empty omits the field.
 	OriginHeader string
+	// TenantHeader names the field that states to targets the tenant whose API key the request carried;
+	// empty omits the field. Where the configuration has tenants, a caller's own field is dropped.
+	TenantHeader string
 	// FractionalRetryAfter makes Retry-After state seconds with three decimals rather than whole
 	// seconds.
 	FractionalRetryAfter bool
 }
 
 // DefaultConventions are the header fields of the mesh's own interface.
-var DefaultConventions = Conventions{RequestIDHeader: HeaderRequestID, DeadlineHeader: HeaderDeadline}
+var DefaultConventions = Conventions{RequestIDHeader: HeaderRequestID, DeadlineHeader: HeaderDeadline, TenantHeader: HeaderTenant}
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -102,7 +102,10 @@
 	head.Authority = c.httpRequest.Host
 	head.Headers = c.headers
 	head.TimeoutMicros = time.Until(c.deadline).Microseconds()
-	head.Priority = int32(c.route.Priority)
+	head.Priority = c.snapshot.Priority(c.route, c.tenant)
+	if c.tenant != nil {
+		head.Tenant = c.tenant.Name
+	}
 	head.Idempotent = c.route.Repeat == revision.RepeatIdempotent
 	head.ContentLength = c.httpRequest.ContentLength
 	head.Revision = c.snapshot.Revision()
--- a/mesh/entry/header.go
+++ b/mesh/entry/header.go
@@ -39,9 +39,10 @@
 	fields := c.httpRequest.Header
 	named := connectionFields(fields)
 	conventions := c.entry.deps.Conventions
+	withTenants := len(c.snapshot.Tenants()) > 0
 	list := newHeaderList(fields)
 	for name, values := range fields {
-		if isHopByHop(name) || setByMesh(name) || conventions.setsHeader(name) || named[name] {
+		if isHopByHop(name) || setByMesh(name) || conventions.setsHeader(name) || named[name] || withTenants && conventions.concernsTenant(name) {
 			continue
 		}
 		for _, value := range values {
@@ -52,6 +53,9 @@
 	if conventions.OriginHeader != "" {
 		list.add(conventions.OriginHeader, *c.entry.service.Load())
 	}
+	if c.tenant != nil && conventions.TenantHeader != "" {
+		list.add(conventions.TenantHeader, c.tenant.Name)
+	}
 	list.add(HeaderHops, strconv.FormatUint(uint64(c.hops), 10))
 	return list.headers
 }
@@ -63,7 +67,7 @@
 }
 
 // maxAddedFields is the largest number of fields that the mesh adds.
-const maxAddedFields = 3
+const maxAddedFields = 4
 
 // newHeaderList returns a list with capacity for the fields and those that the mesh adds.
 func newHeaderList(fields http.Header) *headerList {
--- a/mesh/entry/prefetch.go
+++ b/mesh/entry/prefetch.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -88,7 +89,8 @@
 		return nil
 	}
 	first := c.prefetches[0]
-	if first.request.Method != request.Method || first.request.RequestURI != request.RequestURI || first.request.Host != request.Host {
+	if first.request.Method != request.Method || first.request.RequestURI != request.RequestURI || first.request.Host != request.Host ||
+		!slices.Equal(first.request.Header[headerAuthorization], request.Header[headerAuthorization]) {
 		c.entry.deps.Log.Error("pipelined request differs from the one started early; the connection is closed",
 			zap.String("step", stepAdmit), zap.String("peer", request.RemoteAddr))
 		c.cancel()
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -28,6 +28,8 @@
 	HeaderHops = "X-Sassafras-Hops"
 	// HeaderIdempotencyKey carries the idempotency key of a keyed request.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderTenant is the name of the tenant whose API key a request carried. Targets receive it.
+	HeaderTenant = "X-Sassafras-Tenant"
 	// HeaderReplayed is "true" on the recorded response of a keyed request that ran before.
 	HeaderReplayed = "X-Sassafras-Replayed"
 )
@@ -127,6 +129,9 @@
 	header.Set(HeaderOutcome, failed.outcome.String())
 	header.Set(c.entry.deps.Conventions.RequestIDHeader, c.requestID)
 	header.Set("Content-Type", "application/json")
+	if failed.reason == ReasonUnauthorized {
+		header.Set("WWW-Authenticate", bearerScheme)
+	}
 	if failed.retryable() {
 		header.Set("Retry-After", c.entry.deps.Conventions.retryAfter(failed.retryAfter))
 	}
@@ -208,6 +213,9 @@
 		path := c.httpRequest.URL.Path
 		fields = append(fields, zap.String("authority", c.httpRequest.Host), zap.String("path", path[:min(len(path), maxLoggedPath)]))
 	}
+	if c.tenant != nil {
+		fields = append(fields, zap.String("tenant", c.tenant.Name))
+	}
 	if c.snapshot != nil {
 		fields = append(fields, zap.Uint64("revision", c.snapshot.Revision()))
 	}
--- a/mesh/entry/reason.go
+++ b/mesh/entry/reason.go
@@ -52,6 +52,11 @@
 	ReasonKeyMissing Reason = "key-missing"
 	// ReasonKeyReused means that the idempotency key was used for a different request.
 	ReasonKeyReused Reason = "key-reused"
+	// ReasonUnauthorized means that the request carries no valid API key on a route that requires one.
+	ReasonUnauthorized Reason = "unauthorized"
+	// ReasonKeysOutdated means that this daemon can't decide on the request's API key, because its copy
+	// of the configuration may lack changes of the keys.
+	ReasonKeysOutdated Reason = "keys-outdated"
 	// ReasonUnspecified means that a peer refused the request for a reason that is unknown to
 	// this daemon.
 	ReasonUnspecified Reason = "unspecified"
@@ -111,6 +116,8 @@
 		return http.StatusNotFound
 	case ReasonBadRequest, ReasonKeyMissing, ReasonBodyCut:
 		return http.StatusBadRequest
+	case ReasonUnauthorized:
+		return http.StatusUnauthorized
 	case ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case ReasonHeaderTooLarge:
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -25,7 +25,8 @@
 	requestID string
 	snapshot  *revision.Snapshot
 	route     *revision.Route
-	service   string // of the route, or drawn from the route's split
+	tenant    *revision.Tenant // whose API key the request carries; nil if none
+	service   string           // of the route, or drawn from the route's split
 	hops      uint32
 	startedAt time.Time
 	deadline  time.Time
--- /dev/null
+++ b/mesh/entry/tenant_test.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasnotch.example/coord/revision"
+)
+
+// newTenantFixture returns a fixture whose configuration has the tenants north (key "key-n", priority 5) and
+// east (key "key-e", priority 4), and the public route /open.
+func newTenantFixture(t testing.TB, claims Claims) *fixture {
+	f := newFixture(t, testSettings(), claims, twoHosts(respondsWith(200, "ok"), respondsWith(200, "ok")))
+	f.configuration.Store(applyChange(t, f.configuration.Snapshot(),
+		revision.Resource{Tenant: &revision.Tenant{Name: "north", KeyHashes: []string{revision.HashKey("key-n")}, Priority: 5}},
+		revision.Resource{Tenant: &revision.Tenant{Name: "east", KeyHashes: []string{revision.HashKey("key-e")}, Priority: 4}},
+		revision.Resource{Route: &revision.Route{Name: "open", Service: "orders", Prefix: "/open", Repeat: revision.RepeatIdempotent, Public: true}}))
+	return f
+}
+
+// withAuthorization returns a request with the values of the field Authorization.
+func withAuthorization(path string, values ...string) *http.Request {
+	request := httptest.NewRequest("GET", path, nil)
+	if len(values) > 0 {
+		request.Header["Authorization"] = values
+	}
+	return request
+}
+
+// malformedCredentials are values of the field Authorization that hold no usable key.
+var malformedCredentials = [][]string{
+	nil, {""}, {"Bearer"}, {"Bearer "}, {"Bearer  "}, {"key-n"}, {"Bearerkey-n"}, {"Bearer:key-n"}, {"Bearer\tkey-n"},
+	{"Basic key-n"}, {" Bearer key-n"}, {"Bearer key-n "}, {"Bearer key-n key-n"}, {"Bearer key-n, Bearer key-n"},
+	{"Bearer key-n\x00"}, {"Bearer key-n\n"}, {"Bearer k\u00e9y"}, {"Bearer \"key-n\""}, {"Bearer key=key-n"},
+	{"Bearer key-n", "Bearer key-n"}, {"Bearer key-n", ""}, {"Bearer key-n", "Basic x"},
+	{"Bearer KEY-N"}, {"Bearer " + revision.HashKey("key-n")}, {"Bearer " + strings.Repeat("k", revision.MaxKeyBytes+1)},
+}
+
+// A request without exactly one known key must reach no target, and its caller must learn that it was not
+// run; nothing that it sent as a key may be shown.
+func TestRequestsWithoutValidKeyAreUnauthorized(t *testing.T) {
+	f := newTenantFixture(t, nil)
+	for _, values := range malformedCredentials {
+		t.Run(strings.Join(values, "|"), func(t *testing.T) {
+			is := is.New(t)
+			response := f.serveRecorded(withAuthorization("/catalog/1", values...))
+			is.Equal(response.Code, http.StatusUnauthorized)
+			is.Equal(response.Header().Get("WWW-Authenticate"), "Bearer")
+			is.Equal(response.Header().Get(HeaderOutcome), "refused")
+			is.Equal(response.Header().Get("Retry-After"), "")
+			is.True(strings.Contains(response.Body.String(), `"reason":"unauthorized"`))
+			is.True(!strings.Contains(strings.ToLower(response.Body.String()), "key-n"))
+		})
+	}
+	is.New(t).Equal(f.hosts.dispatched(), 0)
+}
+
+// The target must learn the tenant from the mesh alone: neither the key nor a field of the caller that a
+// target could take for the mesh's may reach it, however it is spelled.
+func TestTargetsLearnTheTenantAndNotTheKey(t *testing.T) {
+	is := is.New(t)
+	f := newTenantFixture(t, nil)
+	cases := []struct {
+		path, credentials, tenant string
+		priority                  int32
+	}{
+		{"/catalog/1", "Bearer key-n", "north", 0},
+		{"/catalog/1", "bearer   key-e", "east", -1 << 16},
+		{"/open/1", "Bearer key-e", "east", -1 << 16},
+		{"/open/1", "Bearer unknown", "", 0},
+		{"/open/1", "Basic dTpw", "", 0},
+		{"/open/1", "", "", 0},
+	}
+	for i, c := range cases {
+		request := withAuthorization(c.path, c.credentials)
+		request.Header[HeaderTenant] = []string{"forged", "forged again"}
+		request.Header["X_sassafras_tenant"] = []string{"forged"}
+		request.Header["X-Sassafras_tenant"] = []string{"forged"}
+		is.Equal(f.serveRecorded(request).Code, http.StatusOK)
+		head := f.hosts.heads[i]
+		is.Equal(head.GetTenant(), c.tenant)
+		is.Equal(head.GetPriority(), c.priority)
+		var stated []string
+		for _, field := range head.GetHeaders() {
+			is.True(field.GetName() != "Authorization")
+			is.True(!strings.Contains(field.GetValue(), "forged"))
+			if field.GetName() == HeaderTenant {
+				stated = append(stated, field.GetValue())
+			}
+		}
+		is.Equal(strings.Join(stated, ","), c.tenant)
+		is.True(len(stated) <= 1)
+	}
+}
+
+// Where the configuration has no tenants, requests must be served as by a release without them.
+func TestWithoutTenantsAuthorizationIsForwarded(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, testSettings(), nil, twoHosts(respondsWith(200, "ok"), respondsWith(200, "ok")))
+	request := withAuthorization("/catalog/1", "Bearer key-n", "Basic x")
+	request.Header.Set(HeaderTenant, "own")
+	is.Equal(f.serveRecorded(request).Code, http.StatusOK)
+	forwarded := map[string][]string{}
+	for _, field := range f.hosts.heads[0].GetHeaders() {
+		forwarded[field.GetName()] = append(forwarded[field.GetName()], field.GetValue())
+	}
+	is.Equal(forwarded["Authorization"], []string{"Bearer key-n", "Basic x"})
+	is.Equal(forwarded[HeaderTenant], []string{"own"})
+	is.Equal(f.hosts.heads[0].GetTenant(), "")
+}
+
+// FuzzBearerKey guards against a value that is taken for a key though it is not one word behind the scheme,
+// and against problems that repeat a part of it.
+func FuzzBearerKey(f *testing.F) {
+	for _, values := range malformedCredentials {
+		f.Add(strings.Join(values, ""))
+	}
+	f.Add("Bearer key-n")
+	f.Fuzz(func(t *testing.T, value string) {
+		key, problem := bearerKey([]string{value})
+		if (problem == "") != revision.ValidKey(key) {
+			t.Fatalf("key %q with problem %q", key, problem)
+		}
+		if problem == "" {
+			scheme := value[:len(bearerScheme)]
+			if !strings.EqualFold(scheme, bearerScheme) || strings.Trim(value[len(scheme):len(value)-len(key)], " ") != "" || !strings.HasSuffix(value, key) {
+				t.Fatalf("key %q of %q", key, value)
+			}
+		}
+		if _, problem := bearerKey([]string{value, value}); problem == "" {
+			t.Fatal("a repeated field was accepted")
+		}
+	})
+}
--- a/mesh/source/row_state.go
+++ b/mesh/source/row_state.go
@@ -167,6 +167,9 @@
 	for i := range s.configuration.Routes {
 		resources = append(resources, revision.Resource{Route: &s.configuration.Routes[i]})
 	}
+	for i := range s.configuration.Tenants {
+		resources = append(resources, revision.Resource{Tenant: &s.configuration.Tenants[i]})
+	}
 	return revision.NewSnapshot(uint64(newest), s.configuration.Number, resources)
 }
 
--- a/mesh/source/rows.go
+++ b/mesh/source/rows.go
@@ -48,6 +48,8 @@
 	Position store.Position     `json:"written"`
 	Services []revision.Service `json:"services"`
 	Routes   []revision.Route   `json:"routes"`
+	// Tenants hold the hashes of their API keys, not the keys.
+	Tenants []revision.Tenant `json:"tenants,omitempty"`
 	// Limits bounds the requests that callers may send.
 	Limits revision.CallerLimits `json:"limits,omitzero"`
 	// Replaces is the number of a configuration of a former era of the store that this one replaces
