Refuse unknown keys for now while the configuration may be outdated

Cause: keys come and go with versions of the configuration. A daemon that lacks the newest version answered 401 to a key that it added, which callers take for final, and went on to accept one that it took away for as long as the store was out of reach.

Change: coord/apikey decides on a request from its credentials and the state of the copy. With configuration.strictKeys all requests that need a key get it while the store has not confirmed the copy for configuration.keysValidWithin. The template renders both; a deployment without the values renders them as empty or not at all, and gets the defaults. Rows carry a format: a configuration that a release without tenants passes on is not taken, since it has lost them and would let every request pass.

--- a/coord/gossip/revisions.go
+++ b/coord/gossip/revisions.go
@@ -13,11 +13,11 @@
 
 // NewerThan reports whether a part of r is newer than that of other.
 func (r Revisions) NewerThan(other Revisions) bool {
-	return r.Latest > other.Latest || r.configuration() > other.configuration() || r.Rollouts > other.Rollouts
+	return r.Latest > other.Latest || r.ConfigurationRevision() > other.ConfigurationRevision() || r.Rollouts > other.Rollouts
 }
 
-// configuration returns the revision of the configuration, which is the latest one without rollouts.
-func (r Revisions) configuration() uint64 {
+// ConfigurationRevision returns the revision of the configuration, which is the latest one without rollouts.
+func (r Revisions) ConfigurationRevision() uint64 {
 	if r.Rollouts == 0 {
 		return r.Latest
 	}
--- a/mesh/daemon/requests.go
+++ b/mesh/daemon/requests.go
@@ -53,15 +53,17 @@
 		return entry.New(s.Entry, locality, entry.Deps{
 			// After this time the order of a rollout to the new version is in force, if there is
 			// one.
-			NewVersionHold:  s.Configuration.ApplyWithin.Std(),
-			Conventions:     &conventions,
-			Service:         s.Service,
-			Configuration:   c,
-			Dialer:          dialer{pool},
-			Claims:          claims,
-			AttemptObserver: metrics,
-			RequestObserver: metrics,
-			Log:             logger.Named("entry"),
+			NewVersionHold:    s.Configuration.ApplyWithin.Std(),
+			Conventions:       &conventions,
+			Service:           s.Service,
+			Configuration:     c,
+			ConfigurationCopy: configurationCopy{c},
+			KeyRules:          keyRules(&s.Configuration),
+			Dialer:            dialer{pool},
+			Claims:            claims,
+			AttemptObserver:   metrics,
+			RequestObserver:   metrics,
+			Log:               logger.Named("entry"),
 		})
 	},
 	func(s settings.Settings, budget *descriptors.Budget, handler *entry.Entry, logger *zap.Logger) *entry.Server {
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -22,6 +22,7 @@
 
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/coord/apikey"
 	"sassafrasnotch.example/coord/balance"
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
@@ -59,11 +60,23 @@
 	Snapshot() *revision.Snapshot
 }
 
+// ConfigurationCopy tells how far the configuration in force may lag behind that of the store.
+type ConfigurationCopy interface {
+	// Age returns the time since the store confirmed the configuration in force.
+	Age() time.Duration
+	// Superseded reports whether another daemon has a newer configuration.
+	Superseded() bool
+}
+
 // Deps are the dependencies of an entry. Configuration and Dialer are required; Claims, the
 // observers, Log, Conventions and Random may be nil.
 type Deps struct {
 	Configuration Configuration
 	Dialer        Dialer
+	// ConfigurationCopy tells how far the configuration may lag behind; nil means not at all. KeyRules
+	// state what follows for API keys.
+	ConfigurationCopy ConfigurationCopy
+	KeyRules          apikey.Rules
 	// Claims records the claims of keyed requests; without it keyed requests are refused.
 	Claims Claims
 	// AttemptObserver receives every attempt; it may be nil.
--- a/mesh/entry/tenant.go
+++ b/mesh/entry/tenant.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"sassafrasnotch.example/coord/apikey"
 	"sassafrasnotch.example/coord/revision"
 )
 
@@ -12,27 +13,53 @@
 	bearerScheme        = "Bearer"
 )
 
-// admitTenant finds the tenant whose API key the request carries. Without tenants in the configuration it does
-// nothing, and the field Authorization is forwarded like any other.
+// admitTenant finds the tenant whose API key the request carries, and decides whether the request may pass.
+// Without tenants in the configuration it does nothing, and the field Authorization is forwarded like any
+// other.
 func (c *callerRequest) admitTenant() *failure {
 	if len(c.snapshot.Tenants()) == 0 {
 		return nil
 	}
+	credentials := apikey.Unusable
 	key, problem := bearerKey(c.httpRequest.Header[headerAuthorization])
 	if problem == "" {
+		credentials, problem = apikey.Unknown, "the API key is not known"
 		if tenant, ok := c.snapshot.TenantByKey(key); ok {
-			c.tenant = tenant
+			credentials, c.tenant = apikey.Known, tenant
 		}
 	}
-	switch {
-	case !c.snapshot.RequiresKey(c.route):
+	rules, required := c.entry.deps.KeyRules, c.snapshot.RequiresKey(c.route)
+	var copied apikey.Copy
+	if required && (credentials == apikey.Unknown || rules.Strict) {
+		copied = c.configurationCopy()
+	}
+	var failed *failure
+	switch apikey.Decide(credentials, required, copied, rules) {
+	case apikey.Admitted:
 		return nil
-	case problem != "":
+	case apikey.Unauthorized:
 		return refused(ReasonUnauthorized, stepAdmit, problem)
-	case c.tenant == nil:
-		return refused(ReasonUnauthorized, stepAdmit, "the API key is not known")
+	case apikey.Superseded:
+		failed = refused(ReasonKeysOutdated, stepAdmit, "the API key is not known here, and another daemon has a newer configuration")
+	case apikey.Outdated:
+		failed = refused(ReasonKeysOutdated, stepAdmit, "the API key is not known here, and the configuration may be outdated")
+	default:
+		failed = refused(ReasonKeysOutdated, stepAdmit, "the store has not confirmed the API keys in time")
+	}
+	failed.retryAfter = rules.RetryAfter()
+	return failed.withPeer(c.entry.self.Host)
+}
+
+// configurationCopy returns the state of the daemon's copy of the configuration. It is superseded too if
+// another snapshot than the request's has come into force meanwhile, which may have its key. That is looked
+// at last, since the age is that of the snapshot in force.
+func (c *callerRequest) configurationCopy() apikey.Copy {
+	var copied apikey.Copy
+	if source := c.entry.deps.ConfigurationCopy; source != nil {
+		copied = apikey.Copy{Age: source.Age(), Superseded: source.Superseded()}
 	}
-	return nil
+	copied.Superseded = copied.Superseded || c.entry.deps.Configuration.Snapshot() != c.snapshot
+	return copied
 }
 
 // bearerKey returns the API key in the values of the field Authorization, or what is wrong with them. The
--- a/mesh/entry/tenant_test.go
+++ b/mesh/entry/tenant_test.go
@@ -5,9 +5,11 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"sassafrasnotch.example/coord/apikey"
 	"sassafrasnotch.example/coord/revision"
 )
 
@@ -113,6 +115,75 @@
 	is.Equal(f.hosts.heads[0].GetTenant(), "")
 }
 
+// fakeCopy is a ConfigurationCopy whose state the test sets.
+type fakeCopy struct {
+	age        time.Duration
+	superseded bool
+}
+
+func (f *fakeCopy) Age() time.Duration { return f.age }
+func (f *fakeCopy) Superseded() bool   { return f.superseded }
+
+// While the keys may be outdated, a key that the daemon does not know must be refused for now and not for
+// good, and the caller must be told to come again soon; requests on public routes are not concerned.
+func TestUnknownKeysWithAnOutdatedConfiguration(t *testing.T) {
+	lenient := apikey.Rules{ApplyWithin: 2 * time.Second, ValidWithin: 5 * time.Second}
+	strict := lenient
+	strict.Strict = true
+	fresh, old, lost := fakeCopy{age: time.Second}, fakeCopy{age: 3 * time.Second}, fakeCopy{age: time.Hour}
+	cases := []struct {
+		name, path, credentials string
+		copied                  fakeCopy
+		rules                   apikey.Rules
+		status                  int
+	}{
+		{"fresh copy", "/catalog/1", "Bearer new", fresh, lenient, 401},
+		{"newer version by gossip", "/catalog/1", "Bearer new", fakeCopy{superseded: true}, lenient, 503},
+		{"old copy", "/catalog/1", "Bearer new", old, lenient, 503},
+		{"malformed, old copy", "/catalog/1", "Bearer", old, lenient, 401},
+		{"known key, lost store", "/catalog/1", "Bearer key-n", lost, lenient, 200},
+		{"known key, strict, old copy", "/catalog/1", "Bearer key-n", old, strict, 200},
+		{"known key, strict, lost store", "/catalog/1", "Bearer key-n", lost, strict, 503},
+		{"public route, strict, lost store", "/open/1", "Bearer new", lost, strict, 200},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTenantFixture(t, nil)
+			f.entry.deps.Conventions = &Conventions{RequestIDHeader: HeaderRequestID, DeadlineHeader: HeaderDeadline, FractionalRetryAfter: true}
+			f.entry.deps.ConfigurationCopy, f.entry.deps.KeyRules = &c.copied, c.rules
+			response := f.serveRecorded(withAuthorization(c.path, c.credentials))
+			is.Equal(response.Code, c.status)
+			is.Equal(f.hosts.dispatched() == 1, c.status == 200)
+			if c.status == 503 {
+				is.Equal(response.Header().Get("Retry-After"), "0.250")
+				is.Equal(response.Header().Get(HeaderOutcome), "refused")
+				is.True(strings.Contains(response.Body.String(), `"reason":"keys-outdated"`))
+				is.Equal(response.Header().Get("WWW-Authenticate"), "")
+			}
+		})
+	}
+}
+
+// swappingCopy puts another snapshot in force while the request is decided on.
+type swappingCopy struct {
+	fakeCopy
+	swap func()
+}
+
+func (s *swappingCopy) Age() time.Duration { s.swap(); return 0 }
+
+// A version that comes into force between the look at the snapshot and the look at its age may have added the
+// key: the request must not get 401.
+func TestUnknownKeyWhileAVersionComesIntoForce(t *testing.T) {
+	is := is.New(t)
+	f := newTenantFixture(t, nil)
+	next := applyChange(t, f.configuration.Snapshot(), revision.Resource{Tenant: &revision.Tenant{Name: "west", KeyHashes: []string{revision.HashKey("new")}}})
+	f.entry.deps.ConfigurationCopy = &swappingCopy{swap: func() { f.configuration.Store(next) }}
+	is.Equal(f.serveRecorded(withAuthorization("/catalog/1", "Bearer new")).Code, http.StatusServiceUnavailable)
+	is.Equal(f.serveRecorded(withAuthorization("/catalog/1", "Bearer new")).Code, http.StatusOK)
+}
+
 // FuzzBearerKey guards against a value that is taken for a key though it is not one word behind the scheme,
 // and against problems that repeat a part of it.
 func FuzzBearerKey(f *testing.F) {
--- a/mesh/settings/check.go
+++ b/mesh/settings/check.go
@@ -64,14 +64,22 @@
 func violations(s *Settings) []violation {
 	var fields validator.ValidationErrors
 	if !errors.As(newValidator().Struct(s), &fields) {
-		return tlsViolations(s)
+		return append(configurationViolations(s), tlsViolations(s)...)
 	}
 	result := make([]violation, 0, len(fields))
 	for _, f := range fields {
 		_, path, _ := strings.Cut(f.Namespace(), ".")
 		result = append(result, violation{path: path, message: describe(f)})
 	}
-	return append(result, tlsViolations(s)...)
+	return append(append(result, configurationViolations(s)...), tlsViolations(s)...)
+}
+
+// configurationViolations returns the contradictory values of Configuration.
+func configurationViolations(s *Settings) []violation {
+	if s.Configuration.StrictKeys && s.Configuration.Source != SourceOperator {
+		return []violation{{"configuration.strictKeys", "requires configuration.source " + SourceOperator + ": the age of a copy of tickets is not known"}}
+	}
+	return nil
 }
 
 // describe returns a description of the valid values of a field and of its actual value.
--- a/mesh/settings/defaults.go
+++ b/mesh/settings/defaults.go
@@ -11,6 +11,9 @@
 	tlsReloadInterval = revision.Duration(time.Minute)
 )
 
+// DefaultKeysValidWithin replaces Configuration.KeysValidWithin if it is 0.
+const DefaultKeysValidWithin = 5 * time.Second
+
 // Default returns the values of the settings that a file may omit. Fields without a default keep
 // their zero value.
 func Default() Settings {
@@ -29,9 +32,10 @@
 			TLS:             TLS{Reload: tlsReloadInterval},
 		},
 		Configuration: Configuration{
-			Source:      SourceTickets,
-			ApplyWithin: revision.Duration(2 * time.Second),
-			Settle:      revision.Duration(2500 * time.Millisecond),
+			Source:          SourceTickets,
+			ApplyWithin:     revision.Duration(2 * time.Second),
+			Settle:          revision.Duration(2500 * time.Millisecond),
+			KeysValidWithin: revision.Duration(DefaultKeysValidWithin),
 		},
 		Gossip:   Gossip{Interval: revision.Duration(time.Second)},
 		Admin:    Admin{TLS: TLS{Reload: tlsReloadInterval}},
--- a/mesh/settings/load.go
+++ b/mesh/settings/load.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"regexp"
 
 	"sassafrasnotch.example/mesh/jsonc"
 )
@@ -21,10 +22,14 @@
 	return s, nil
 }
 
+// unrendered matches a placeholder of a template that the platform did not render, because the deployment has
+// no such value. It counts as empty, which settings without a default report.
+var unrendered = regexp.MustCompile(`{{[A-Za-z0-9.]+}}`)
+
 // Parse reads the settings from JSON with comments; fields that data omits have their defaults. The
 // error is a *jsonc.Error with every problem.
 func Parse(data []byte) (Settings, error) {
-	document, err := jsonc.Parse(data)
+	document, err := jsonc.Parse(unrendered.ReplaceAll(data, nil))
 	if err != nil {
 		return Settings{}, err
 	}
--- a/mesh/settings/settings.go
+++ b/mesh/settings/settings.go
@@ -46,6 +46,11 @@
 	// Settle is the time without requests to the old version before the verdict, for rollouts that
 	// operators order through the platform's store.
 	Settle revision.Duration `json:"settle" validate:"min=0"`
+	// StrictKeys refuses all requests that need an API key while the store has not confirmed the
+	// configuration for KeysValidWithin, since a key may have been taken away meanwhile.
+	StrictKeys Switch `json:"strictKeys"`
+	// KeysValidWithin is that time; 0 means DefaultKeysValidWithin.
+	KeysValidWithin revision.Duration `json:"keysValidWithin" validate:"min=0"`
 }
 
 // Retry configures the retry budget: it bounds the requests that are sent to a second target.
--- a/mesh/source/apply.go
+++ b/mesh/source/apply.go
@@ -85,7 +85,7 @@
 	s.applied.Store(&appliedSnapshot{snapshot: next, revisions: revisions, at: time.Now()})
 	s.members.SetRevisions(revisions)
 	s.logger.Info("configuration applied", zap.Uint64("revision", next.Revision()),
-		zap.Uint64("ticket", s.state.configuration.Number), zap.Int("routes", len(s.state.configuration.Routes)),
+		zap.Uint64("ticket", s.state.configuration.Number), zap.Int("routes", len(s.state.configuration.Routes)), zap.Int("tenants", len(s.state.configuration.Tenants)),
 		zap.Int("moves", len(next.RunningRollouts())), zap.String("origin", origin))
 	for _, notify := range s.onApply {
 		notify(next)
--- a/mesh/source/gossip.go
+++ b/mesh/source/gossip.go
@@ -1,6 +1,7 @@
 package source
 
 import (
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,7 @@
 // delay in which the zone reader that it follows may send them.
 func (s *Source) ObserveRevision(report gossip.RevisionReport) {
 	s.latest.Store(max(report.Revisions.Latest, s.latest.Load()))
+	storeMax(&s.latestConfiguration, report.Revisions.ConfigurationRevision())
 	if s.hasApplied(report.Revisions) {
 		return
 	}
@@ -64,6 +66,23 @@
 	}
 }
 
+// storeMax raises a counter to a value, which several goroutines may do.
+func storeMax(counter *atomic.Uint64, value uint64) {
+	for {
+		present := counter.Load()
+		if present >= value || counter.CompareAndSwap(present, value) {
+			return
+		}
+	}
+}
+
+// Superseded reports whether another daemon has reported a newer configuration than the one in force here.
+// Newer states of rollouts do not count.
+func (s *Source) Superseded() bool {
+	current := s.applied.Load()
+	return current != nil && s.latestConfiguration.Load() > current.revisions.ConfigurationRevision()
+}
+
 // hasApplied reports whether the revisions or newer ones are in force.
 func (s *Source) hasApplied(revisions gossip.Revisions) bool {
 	current := s.applied.Load()
--- a/mesh/source/handover.go
+++ b/mesh/source/handover.go
@@ -20,9 +20,18 @@
 // maxRowsBytes bounds the rows of one reply after decompression, in bytes.
 const maxRowsBytes = 64 << 20
 
+// rowsFormat is raised when a configuration gets fields that the daemons must not lose: 1 added tenants.
+const rowsFormat = 1
+
+// errFormerRelease means that rows come from a release that drops fields of a configuration. Without its
+// tenants, a configuration would let requests without a key pass.
+var errFormerRelease = errors.New("source: rows of a release that does not know all fields of a configuration")
+
 // rowSet holds the rows that one daemon sends to another. The rows are whole, each with the version
 // of the store at which it was written. It is encoded as JSON and compressed with gzip.
 type rowSet struct {
+	// Format is rowsFormat of the sender's release.
+	Format        int            `json:"format,omitempty"`
 	Configuration *Configuration `json:"configuration,omitempty"`
 	Orders        []orderRow     `json:"orders,omitempty"`
 	Rollouts      []RolloutRow   `json:"moves,omitempty"`
@@ -121,6 +130,7 @@
 // repeats its field names for each of hundreds of routes, and a zone reader sends it to all its
 // followers.
 func (r *rowSet) encode() ([]byte, error) {
+	r.Format = rowsFormat
 	var out bytes.Buffer
 	writer, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
 	if err != nil {
@@ -136,7 +146,7 @@
 }
 
 // decodeRows decodes the output of rowSet.encode, whose checksum is sum. Empty data is a set without
-// rows. Errors wrap revision.ErrCorrupt.
+// rows. Errors wrap revision.ErrCorrupt or errFormerRelease.
 func decodeRows(data []byte, sum uint64) (rowSet, error) {
 	var rows rowSet
 	if len(data) == 0 {
@@ -152,6 +162,9 @@
 	if err := json.NewDecoder(io.LimitReader(reader, maxRowsBytes)).Decode(&rows); err != nil {
 		return rowSet{}, fmt.Errorf("%w: %w", revision.ErrCorrupt, err)
 	}
+	if rows.Configuration != nil && rows.Format < rowsFormat {
+		return rowSet{}, errFormerRelease
+	}
 	for _, row := range rows.Rollouts {
 		if err := row.Validate(); err != nil {
 			return rowSet{}, fmt.Errorf("%w: %w", revision.ErrCorrupt, err)
--- a/mesh/source/source.go
+++ b/mesh/source/source.go
@@ -79,6 +79,8 @@
 	// reader is the zone reader that is followed, nil while the store is.
 	reader atomic.Pointer[string]
 	latest atomic.Uint64 // latest revision that gossip reported
+	// latestConfiguration is the latest revision of what operators wrote that gossip reported.
+	latestConfiguration atomic.Uint64
 	// reread makes the goroutine that follows the store read all rows.
 	reread         chan struct{}
 	lastGossipRead time.Time // guarded by mu
