Separate the claims of tenants, take tenants by tickets and count requests by tenant

Cause: a claim was that of an idempotency key alone, so that a tenant that used another's key got its response. Tickets could not set tenants, and nothing showed what a tenant got.

Change: the key of a claim names the tenant, in front of a space, which no idempotency key contains; the row key of a request without a tenant stays.

TestCheck checks in addition that no output contains a key.

--- a/coord/claim/claim.go
+++ b/coord/claim/claim.go
@@ -40,7 +40,7 @@
 // Request is one attempt of a request with an idempotency key.
 type Request struct {
 	Service string
-	// Key is the idempotency key that the caller sent.
+	// Key is the idempotency key that the caller sent, or the result of TenantKey.
 	Key string
 	// Attempt identifies the attempt; it is unique for each.
 	Attempt string
@@ -49,6 +49,10 @@
 	Fingerprint uint64
 }
 
+// TenantKey returns the key of a tenant's request that carries an idempotency key. It differs from the keys of
+// all other tenants and of requests without one, since an idempotency key contains no space.
+func TenantKey(tenant, key string) string { return tenant + " " + key }
+
 // RowKey returns the key of the request's claim row in the store.
 func (r *Request) RowKey() string { return RowKey(r.Service, r.Key) }
 
--- a/coord/revision/tenant.go
+++ b/coord/revision/tenant.go
@@ -32,6 +32,16 @@
 // notVisible reports whether a character is other than a visible ASCII character.
 func notVisible(r rune) bool { return r <= ' ' || r > '~' }
 
+// CheckTenants returns the problems of tenants that can be found without the others of a configuration.
+func CheckTenants(tenants []Tenant) []error {
+	var problems []error
+	holders := make(map[string]string)
+	for i := range tenants {
+		problems = append(problems, checkTenant(&tenants[i], holders)...)
+	}
+	return problems
+}
+
 // checkTenant returns the problems of a tenant. The texts name the tenant and the field, never a key, also
 // where a key stands in the place of a hash.
 func checkTenant(tenant *Tenant, holders map[string]string) []error {
--- a/coord/ticket/check.go
+++ b/coord/ticket/check.go
@@ -48,6 +48,9 @@
 	for i, route := range t.Routes {
 		checkName(report, fmt.Sprintf("routes[%d].name", i), route.Name)
 	}
+	for i, tenant := range t.Tenants {
+		checkName(report, fmt.Sprintf("tenants[%d].name", i), tenant.Name)
+	}
 	for i, split := range t.Splits {
 		if split.Rollout != nil {
 			report("splits[%d].move: not allowed here; request a rollout under \"moves\"", i)
@@ -59,7 +62,7 @@
 }
 
 func (t *Ticket) isEmpty() bool {
-	return len(t.Services)+len(t.Versions)+len(t.Routes)+len(t.Splits)+len(t.Rollouts)+len(t.Delete) == 0
+	return len(t.Services)+len(t.Versions)+len(t.Routes)+len(t.Tenants)+len(t.Splits)+len(t.Rollouts)+len(t.Delete) == 0
 }
 
 func checkName(report func(string, ...any), at, name string) {
@@ -119,6 +122,9 @@
 	for i := range t.Routes {
 		resources = append(resources, revision.Resource{Route: &t.Routes[i]})
 	}
+	for i := range t.Tenants {
+		resources = append(resources, revision.Resource{Tenant: &t.Tenants[i]})
+	}
 	for i := range t.Splits {
 		resources = append(resources, revision.Resource{Split: &t.Splits[i]})
 	}
--- a/coord/ticket/ticket.go
+++ b/coord/ticket/ticket.go
@@ -17,6 +17,8 @@
 	Services []revision.Service `json:"services,omitempty"`
 	Versions []revision.Version `json:"versions,omitempty"`
 	Routes   []revision.Route   `json:"routes,omitempty"`
+	// Tenants hold the hashes of their API keys, not the keys.
+	Tenants []revision.Tenant `json:"tenants,omitempty"`
 	// Splits set the shares of services immediately, without a rollout.
 	Splits []revision.Split `json:"splits,omitempty"`
 	// Rollouts transfer traffic step by step, each with a deadline.
--- a/coord/ticket/ticket_test.go
+++ b/coord/ticket/ticket_test.go
@@ -54,6 +54,11 @@
 		{"two deadlines", Ticket{Number: 11, Rollouts: []RolloutRequest{{Service: "desk", To: "v2", By: now.Add(time.Hour), Within: 1}}}, []string{"already given by \"by\""}},
 		{"no deadline", Ticket{Number: 11, Rollouts: []RolloutRequest{{Service: "desk", To: "v2"}}}, []string{"a deadline is required"}},
 		{"negative relative deadline", Ticket{Number: 11, Rollouts: []RolloutRequest{{Service: "desk", To: "v2", Within: -1}}}, []string{"the duration is negative"}},
+		{"a tenant", Ticket{Number: 11, Tenants: []revision.Tenant{{Name: "north", KeyHashes: []string{revision.HashKey("k")}}}}, nil},
+		{"one key of two tenants", Ticket{Number: 11, Tenants: []revision.Tenant{{Name: "north", KeyHashes: []string{revision.HashKey("k")}}, {Name: "east", KeyHashes: []string{revision.HashKey("k")}}}}, []string{"tenant/north: keyHashes[0] is already that of tenant \"east\""}},
+		{"a tenant twice", Ticket{Number: 11, Tenants: []revision.Tenant{{Name: "north"}, {Name: "north"}}}, []string{"tenant/north: named more than once"}},
+		{"invalid name of a tenant", Ticket{Number: 11, Tenants: []revision.Tenant{{Name: "North"}}}, []string{"tenants[0].name"}},
+		{"deletes a tenant that does not exist", Ticket{Number: 11, Delete: []revision.Ref{{Kind: revision.KindTenant, Name: "north"}}}, []string{"tenant/north: does not exist"}},
 		{"names a resource twice", Ticket{Number: 11, Rollouts: []RolloutRequest{rollout, rollout}}, []string{"more than once"}},
 	}
 	for _, test := range tests {
--- a/mesh/ctl/check.go
+++ b/mesh/ctl/check.go
@@ -111,12 +111,12 @@
 // detectFileType distinguishes tickets and configurations from settings by the fields that
 // only they have.
 func detectFileType(document *jsonc.Document) fileType {
-	for _, field := range []string{"number", "services", "versions", "routes", "splits", "moves", "delete"} {
+	for _, field := range []string{"number", "services", "versions", "routes", "tenants", "splits", "moves", "delete"} {
 		if document.HasField(field) {
 			return fileTypeTicket
 		}
 	}
-	if document.HasField("Routes") || document.HasField("Services") {
+	if document.HasField("Routes") || document.HasField("Services") || document.HasField("Tenants") {
 		return fileTypeConfiguration
 	}
 	return fileTypeSettings
--- a/mesh/ctl/ctl_test.go
+++ b/mesh/ctl/ctl_test.go
@@ -17,6 +17,7 @@
 	"github.com/google/subcommands"
 	"github.com/matryer/is"
 
+	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/ticket"
 	"sassafrasnotch.example/mesh/admin"
 	"sassafrasnotch.example/platform/operator"
@@ -259,6 +260,7 @@
 		{"ticket", "show", "0"},
 		{"ticket", "show", "1", "2"},
 		{"ticket", "list", "extra"},
+		{"ticket", "hash-key", "key"},
 		{"ticket", "wait", "1", "-interval", "0"},
 		{"ticket", "submit", "absent.json"},
 		{"status", "-o", "yaml"},
@@ -298,6 +300,15 @@
 		{"configuration without attempts", "configuration", strings.Replace(configuration, `,"MaxAttempts":2`, "", 1), ExitBadInput,
 			`route "r1": 0 attempts`},
 		{"truncated configuration", "configuration", configuration[:90], ExitBadInput, "-: unexpected end of JSON"},
+		{"ticket of tenants", "auto", tenantTicket, ExitSuccess, "valid ticket"},
+		{"ticket with a key in place of its hash", "auto", strings.Replace(tenantTicket, revision.HashKey("k1"), "sesame", 1), ExitBadInput,
+			"-:1: tenant/north: keyHashes[0] is not a SHA-256 hash"},
+		{"ticket with one key of two tenants", "auto", strings.Replace(tenantTicket, revision.HashKey("k2"), revision.HashKey("k1"), 1), ExitBadInput,
+			`tenant/east: keyHashes[0] is already that of tenant "north"`},
+		{"configuration with tenants", "auto", strings.Replace(configuration, `"Services"`, `"Tenants":[{"Name":"a","ApiKeys":["sesame"]}],"Services"`, 1), ExitSuccess,
+			"valid configuration"},
+		{"configuration with a repeated key", "auto", strings.Replace(configuration, `"Services"`, `"Tenants":[{"Name":"a","ApiKeys":["sesame","sesame"]}],"Services"`, 1), ExitBadInput,
+			`Tenants[0] "a": ApiKeys[1] is listed twice`},
 		{"overdue", "auto", strings.Replace(goodTicket, "2030", "2020", 1), ExitBadInput, "-:6: moves[0].by: the deadline 2020-01-01T00:00:00Z has passed"},
 	}
 	for _, c := range cases {
@@ -306,12 +317,39 @@
 			got := run(t, c.text, "check", "-kind", c.kind, "-")
 			is.Equal(got.exit, c.exit)
 			is.True(strings.Contains(got.stdout+got.stderr, c.want))
+			is.True(!strings.Contains(got.stdout+got.stderr, "sesame")) // stands for an API key
 		})
 	}
 }
 
+// tenantTicket sets two tenants.
+var tenantTicket = `{"number": 18, "tenants": [{"name": "north", "keyHashes": ["` + revision.HashKey("k1") + `"], "rate": 5, "burst": 10},
+	{"name": "east", "keyHashes": ["` + revision.HashKey("k2") + `"]}]}`
+
+// The hash must be the one by which daemons find the tenant, whatever line end an editor adds; a text that no
+// request can carry must be rejected without being shown.
+func TestHashKey(t *testing.T) {
+	for input, wanted := range map[string]string{
+		"sesame": "sesame", "sesame\n": "sesame", "sesame\r\n": "sesame",
+		"": "", "\n": "", "sesame\n\n": "", " sesame": "", "sesame\nsesame\n": "", "s\u00e9same": "",
+		strings.Repeat("s", revision.MaxKeyBytes) + "\r\n": strings.Repeat("s", revision.MaxKeyBytes),
+		strings.Repeat("s", revision.MaxKeyBytes+1):        "",
+	} {
+		is := is.New(t)
+		got := run(t, input, "ticket", "hash-key")
+		is.True(!strings.Contains(got.stdout+got.stderr, "sesame"))
+		if wanted == "" {
+			is.Equal(got.exit, ExitBadInput)
+			is.Equal(got.stdout, "")
+			continue
+		}
+		is.Equal(got.exit, ExitSuccess)
+		is.Equal(got.stdout, revision.HashKey(wanted)+"\n")
+	}
+}
+
 func TestHelpGivesAnExample(t *testing.T) {
-	for _, args := range [][]string{{"help", "status"}, {"help", "check"}, {"help", "ticket"}, {"ticket", "help", "submit"}, {"ticket", "help", "show"}, {"ticket", "help", "wait"}, {"ticket", "help", "list"}} {
+	for _, args := range [][]string{{"help", "status"}, {"help", "check"}, {"help", "ticket"}, {"ticket", "help", "submit"}, {"ticket", "help", "show"}, {"ticket", "help", "wait"}, {"ticket", "help", "list"}, {"ticket", "help", "hash-key"}} {
 		t.Run(strings.Join(args, " "), func(t *testing.T) {
 			is := is.New(t)
 			got := run(t, "", args...)
--- a/mesh/ctl/ticket.go
+++ b/mesh/ctl/ticket.go
@@ -15,6 +15,7 @@
 	newTicketShow,
 	newTicketWait,
 	newTicketList,
+	newTicketHashKey,
 }
 
 // ticketGroup runs the commands on tickets.
@@ -22,10 +23,12 @@
 
 func newTicket(env *Env) subcommands.Command { return &ticketGroup{env: env} }
 
-func (*ticketGroup) Name() string     { return "ticket" }
-func (*ticketGroup) Synopsis() string { return "submit, show, wait for and list change tickets" }
+func (*ticketGroup) Name() string { return "ticket" }
+func (*ticketGroup) Synopsis() string {
+	return "submit, show, wait for and list change tickets, and hash API keys for them"
+}
 func (*ticketGroup) Usage() string {
-	return "sassafrasctl ticket submit|show|wait|list ...\n" +
+	return "sassafrasctl ticket submit|show|wait|list|hash-key ...\n" +
 		"Example: sassafrasctl ticket submit -admin 10.0.0.1:7003 ticket-17.json\n" +
 		"See \"sassafrasctl ticket help submit\" and so on.\n"
 }
--- a/mesh/ctl/ticket_file.go
+++ b/mesh/ctl/ticket_file.go
@@ -62,7 +62,7 @@
 	if err := document.Decode(&file.ticket); err != nil {
 		return nil, jsonc.WithFile(name, err)
 	}
-	if faults := file.ticket.Check(); len(faults) > 0 {
+	if faults := append(file.ticket.Check(), revision.CheckTenants(file.ticket.Tenants)...); len(faults) > 0 {
 		return nil, file.problems(faults)
 	}
 	return file, nil
@@ -136,6 +136,9 @@
 	for i := range t.Routes {
 		add(revision.Resource{Route: &t.Routes[i]}, "routes", i)
 	}
+	for i := range t.Tenants {
+		add(revision.Resource{Tenant: &t.Tenants[i]}, "tenants", i)
+	}
 	for i := range t.Rollouts {
 		add(revision.Resource{Split: &revision.Split{Service: t.Rollouts[i].Service}}, "moves", i)
 	}
--- a/mesh/entry/claims.go
+++ b/mesh/entry/claims.go
@@ -55,9 +55,13 @@
 
 func (c *callerRequest) claimRequest() claim.Request {
 	path := c.httpRequest.URL.RequestURI()
+	key := c.httpRequest.Header.Get(HeaderIdempotencyKey)
+	if c.tenant != nil {
+		key = claim.TenantKey(c.tenant.Name, key)
+	}
 	return claim.Request{
 		Service:     c.service,
-		Key:         c.httpRequest.Header.Get(HeaderIdempotencyKey),
+		Key:         key,
 		Attempt:     c.entry.self.Host + "/" + strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36),
 		Fingerprint: claim.Fingerprint(c.httpRequest.Method, path, c.httpRequest.ContentLength, c.inlineBody),
 	}
--- a/mesh/entry/claims_test.go
+++ b/mesh/entry/claims_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/claim"
+	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/store"
 	meshclaim "sassafrasnotch.example/mesh/claim"
 	"sassafrasnotch.example/mesh/peer/peerpb"
@@ -135,3 +137,37 @@
 	is.Equal(body, "swan 7")
 	is.Equal(f.hosts.dispatched(), 1)
 }
+
+// Two tenants that use the same idempotency key must not receive each other's responses, nor must a caller
+// without a tenant; each of them is still run once.
+func TestClaimBelongsToItsTenant(t *testing.T) {
+	is := is.New(t)
+	claims := meshclaim.New(store.NewMemory(), zap.NewNop())
+	defer claims.Close(t.Context())
+	f := newTenantFixture(t, claims)
+	f.configuration.Store(applyChange(t, f.configuration.Snapshot(), revision.Resource{
+		Route: &revision.Route{Name: "open-keyed", Service: "orders", Prefix: "/open-keyed", Repeat: revision.RepeatKeyed, Public: true},
+	}))
+	for _, c := range []struct {
+		path, credentials string
+		replayed          string
+	}{
+		{"/keyed/1", "Bearer key-n", ""},
+		{"/keyed/1", "Bearer key-e", ""},
+		{"/keyed/1", "Bearer key-n", "true"},
+		{"/keyed/1", "Bearer key-e", "true"},
+		{"/open-keyed/1", "", ""},
+		{"/open-keyed/1", "Bearer key-n", ""},
+		{"/open-keyed/1", "", "true"},
+	} {
+		request := withAuthorization(c.path, c.credentials)
+		request.Header.Set(HeaderIdempotencyKey, "k"+c.path[:3])
+		var response *httptest.ResponseRecorder
+		waitFor(t, func() bool { // until the response of the run is recorded
+			response = f.serveRecorded(request)
+			return response.Code == http.StatusOK
+		})
+		is.Equal(response.Header().Get(HeaderReplayed), c.replayed)
+	}
+	is.Equal(f.hosts.dispatched(), 4)
+}
--- a/mesh/entry/observer.go
+++ b/mesh/entry/observer.go
@@ -38,6 +38,10 @@
 // Result is what the entry reported to the caller about a request that matched a route.
 type Result struct {
 	Service string
+	// WithTenants means that the configuration has tenants. Tenant is the one whose API key the request
+	// carried; it is empty for one without a known key.
+	WithTenants bool
+	Tenant      string
 	// Version is the version that responded; it is empty if none did, and for the recorded response
 	// of a keyed request.
 	Version string
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -183,7 +183,7 @@
 		return
 	}
 	line.Write(zap.String("request_id", c.requestID), zap.String("service", c.service),
-		zap.String("route", c.route.Name), zap.String("peer", e.endpoint.Host), zap.String("peer_zone", e.endpoint.Zone),
+		zap.String("route", c.route.Name), c.tenantField(), zap.String("peer", e.endpoint.Host), zap.String("peer_zone", e.endpoint.Zone),
 		zap.String("version", e.endpoint.Version), zap.Stringer("outcome", retry.Responded), zap.Int("status", e.status),
 		zap.Bool("cut", e.truncated), zap.Int("attempts", c.attempts), zap.Uint64("revision", c.snapshot.Revision()),
 		zap.Duration("took", time.Since(c.startedAt)), zap.Duration("left", time.Until(c.deadline)))
@@ -213,9 +213,7 @@
 		path := c.httpRequest.URL.Path
 		fields = append(fields, zap.String("authority", c.httpRequest.Host), zap.String("path", path[:min(len(path), maxLoggedPath)]))
 	}
-	if c.tenant != nil {
-		fields = append(fields, zap.String("tenant", c.tenant.Name))
-	}
+	fields = append(fields, c.tenantField())
 	if c.snapshot != nil {
 		fields = append(fields, zap.Uint64("revision", c.snapshot.Revision()))
 	}
@@ -231,6 +229,10 @@
 		return
 	}
 	c.result.Service = c.service
+	c.result.WithTenants = len(c.snapshot.Tenants()) > 0
+	if c.tenant != nil {
+		c.result.Tenant = c.tenant.Name
+	}
 	c.result.CallerDisconnected = c.httpRequest.Context().Err() != nil
 	if !c.startedAt.IsZero() {
 		c.result.Duration = time.Since(c.startedAt)
--- a/mesh/entry/tenant.go
+++ b/mesh/entry/tenant.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 
+	"go.uber.org/zap"
+
 	"sassafrasnotch.example/coord/apikey"
 	"sassafrasnotch.example/coord/revision"
 )
@@ -92,3 +94,11 @@
 	return strings.EqualFold(name, headerAuthorization) ||
 		c.TenantHeader != "" && strings.EqualFold(strings.ReplaceAll(name, "_", "-"), c.TenantHeader)
 }
+
+// tenantField returns the log field that names the tenant, or one that is not written if there is none.
+func (c *callerRequest) tenantField() zap.Field {
+	if c.tenant == nil {
+		return zap.Skip()
+	}
+	return zap.String("tenant", c.tenant.Name)
+}
--- a/mesh/telemetry/requests.go
+++ b/mesh/telemetry/requests.go
@@ -29,6 +29,7 @@
 	unserved metric.Int64Counter     // requests without a response, by service, outcome and reason
 	attempts metric.Int64Counter     // by service, outcome and reason
 	queued   metric.Float64Histogram // wait for a slot, by service
+	tenants  *tenantMetrics
 
 	labelSets sync.Map // seriesKey to metric.MeasurementOption
 	// The next observers receive each result or attempt after it is recorded.
@@ -63,6 +64,7 @@
 	c.queued = histogram("sassafras_queue_wait", "Time that a request waited for a slot of a target on this host")
 	c.unserved = counter("sassafras_calls_unserved", "{call}", "Requests without a response from a target, by reason")
 	c.attempts = counter("sassafras_attempts", "{attempt}", "Attempts at hosts, by outcome and reason")
+	c.tenants = newTenantMetrics(counter("sassafras_tenant_requests", "{request}", "Requests on routes, by tenant and result, where the configuration has tenants"))
 	return c, createErr
 }
 
@@ -72,6 +74,7 @@
 	if result.Outcome != retry.Responded {
 		c.unserved.Add(context.Background(), 1, c.labels(seriesKey{result.Service, result.Outcome, result.Reason}))
 	}
+	c.tenants.observe(&result)
 	c.nextRequest.ObserveRequest(result)
 }
 
