--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"sassafrasnotch.example/integration/cluster"
+	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/standin/platformserver"
 	"sassafrasnotch.example/mesh/standin/workerserver"
 	"sassafrasnotch.example/platform/wire"
@@ -40,7 +41,9 @@
 	client  *http.Client
 }
 
-func startPlatformCluster(t *testing.T) *platformCluster {
+// startPlatformCluster starts a system of six daemons and waits until they serve requests. The functions change
+// the settings of each daemon.
+func startPlatformCluster(t *testing.T, adjust ...func(*settings.Settings)) *platformCluster {
 	t.Helper()
 	p := &platformCluster{t: t, workers: make(map[string]*workerserver.Worker), client: &http.Client{Transport: &http.Transport{
 		DisableCompression: true, MaxIdleConnsPerHost: 64,
@@ -51,7 +54,12 @@
 		}
 		return "studio"
 	}
-	p.Cluster = cluster.Start(t, cluster.Options{Zones: 3, HostsPerZone: 2, Adjust: cluster.PlatformSettings(service)})
+	p.Cluster = cluster.Start(t, cluster.Options{Zones: 3, HostsPerZone: 2, Adjust: func(s *settings.Settings) {
+		cluster.PlatformSettings(service)(s)
+		for _, change := range adjust {
+			change(s)
+		}
+	}})
 	for _, d := range p.Daemons {
 		p.workers[d.Settings.Host] = d.StartWorker("i-"+d.Settings.Host, "v1", nil)
 	}
@@ -133,6 +141,11 @@
 	request.Header.Set(wire.HeaderRequestID, a.id)
 	request.Header.Set(wire.HeaderDeadline, fmt.Sprint(callerLimit.Milliseconds()))
 	request.Header.Set(wire.HeaderCallerService, "forged")
+	return p.do(request, a)
+}
+
+// do sends a request and completes its result.
+func (p *platformCluster) do(request *http.Request, a callerResult) callerResult {
 	response, err := p.client.Do(request)
 	if err != nil {
 		a.err = err
--- a/mesh/standin/workerserver/worker.go
+++ b/mesh/standin/workerserver/worker.go
@@ -53,6 +53,8 @@
 type ExecutionRecord struct {
 	RequestID, Method, URI, Body string
 	CallerService                string
+	// Authorization holds the values of that field, Tenant those of the fields that state the tenant.
+	Authorization, Tenant []string
 	// Deadline is the remaining time that the daemon stated.
 	Deadline  time.Duration
 	StartedAt time.Time
@@ -267,6 +269,7 @@
 	index := w.recordExecution(ExecutionRecord{
 		RequestID: id, Method: request.Method, URI: request.URL.RequestURI(), Body: string(body),
 		CallerService: request.Header.Get(wire.HeaderCallerService), Deadline: deadline, StartedAt: time.Now(),
+		Authorization: request.Header["Authorization"], Tenant: request.Header[wire.HeaderTenant],
 	})
 	status := http.StatusOK
 	if !w.perform(ctx, request) {
