--- a/coord/revision/tenant_test.go
+++ b/coord/revision/tenant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -90,3 +91,20 @@
 	is.NoErr(err)
 	is.Equal(without.Priority(&Route{Priority: 70000}, nil), int32(70000))
 }
+
+// BenchmarkTenantByKey measures what the search for the tenant costs each request.
+func BenchmarkTenantByKey(b *testing.B) {
+	var tenants []Tenant
+	for i := range 76 {
+		tenants = append(tenants, Tenant{Name: fmt.Sprint("t", i), KeyHashes: []string{HashKey(fmt.Sprint("key-0123456789abcdef-", i))}})
+	}
+	snapshot, err := withTenants(tenants...)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, ok := snapshot.TenantByKey("key-0123456789abcdef-42"); !ok {
+			b.Fatal("the key is not known")
+		}
+	}
+}
--- a/mesh/daemon/configuration.go
+++ b/mesh/daemon/configuration.go
@@ -42,7 +42,7 @@
 	func(identity peer.Identity, s settings.Settings, a adapter.Adapter, members *membership.Membership, pool *peer.Pool, logger *zap.Logger) *source.Source {
 		self := source.Self{Host: identity.Host, Zone: identity.Zone}
 		return source.New(self, a.OperatorReader, a.Rollouts, members, pool, source.Timing{
-			ApplyWithin: s.Configuration.ApplyWithin.Std(),
+			ApplyWithin: confirmWithin(&s.Configuration),
 			Settle:      s.Configuration.Settle.Std(),
 		}, logger.Named("source"))
 	},
--- a/mesh/daemon/keys.go
+++ b/mesh/daemon/keys.go
@@ -36,3 +36,14 @@
 	}
 	return rules
 }
+
+// confirmWithin returns the bound by which the copy of the configuration is kept fresh. With strict keys it is not
+// above the time for which keys are valid without a confirmation: a copy is up to half of the bound old
+// while all is well.
+func confirmWithin(s *settings.Configuration) time.Duration {
+	rules := keyRules(s)
+	if !rules.Strict {
+		return rules.ApplyWithin
+	}
+	return min(rules.ApplyWithin, rules.ValidWithin)
+}
