Test tenant fields on the wire and configurations of a former release

Cause: the tests set header fields in maps, so that nothing showed what folded, repeated or differently spelled fields, trailers and pipelined requests lead to; and that a daemon among others of a former release gets its tenants was shown for the rows alone.

Change: TestTenantFieldsOnTheWire sends 13 shapes through a socket. TestTenantsAmongDaemonsOfAFormerRelease starts a daemon whose peers pass configurations on without tenants.

--- a/mesh/entry/tenant_test.go
+++ b/mesh/entry/tenant_test.go
@@ -1,8 +1,12 @@
 package entry
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -115,6 +119,68 @@
 	is.Equal(f.hosts.heads[0].GetTenant(), "")
 }
 
+// Callers write field names in any case, fold lines, repeat fields and send trailers, and several requests at once
+// on a connection. Whatever they do, the key and a tenant that they state must not reach the target, and a
+// request must be judged by its own key.
+func TestTenantFieldsOnTheWire(t *testing.T) {
+	f := newTenantFixture(t, nil)
+	const first = "GET /catalog/1 HTTP/1.1\r\nHost: x\r\n"
+	const key = "Authorization: Bearer key-n\r\n"
+	cases := []struct {
+		name, sent string
+		statuses   []int
+		tenants    []string
+	}{
+		{"lower case", first + "authorization: Bearer key-n\r\nx-sassafras-tenant: forged\r\n\r\n", []int{200}, []string{"north"}},
+		{"upper case", first + "AUTHORIZATION: BEARER key-n\r\nX-SASSAFRAS-TENANT: forged\r\n\r\n", []int{200}, []string{"north"}},
+		{"underscores", first + key + "x_sassafras_tenant: forged\r\nX-Sassafras_Tenant: forged\r\n\r\n", []int{200}, []string{"north"}},
+		{"repeated", first + key + "X-Sassafras-Tenant: forged\r\nx-sassafras-tenant: forged\r\n\r\n", []int{200}, []string{"north"}},
+		{"named by Connection", first + key + "Connection: x-sassafras-tenant, authorization\r\nX-Sassafras-Tenant: forged\r\n\r\n", []int{200}, []string{"north"}},
+		{"folded", first + "Authorization: Bearer\r\n key-n\r\nX-Sassafras-Tenant:\r\n forged\r\n\r\n", []int{200}, []string{"north"}},
+		{"space before the colon", first + key + "X-Sassafras-Tenant : forged\r\n\r\n", []int{400}, nil},
+		{"repeated key in another case", first + key + "authorization: Bearer key-n\r\n\r\n", []int{401}, nil},
+		{"two tenants", first + key + "Authorization: Bearer key-e\r\n\r\n", []int{401}, nil},
+		{"proxy authorization", first + "Proxy-Authorization: Bearer key-n\r\n\r\n", []int{401}, nil},
+		{"trailers", "POST /order/1 HTTP/1.1\r\nHost: x\r\n" + key + "Transfer-Encoding: chunked\r\nTrailer: X-Sassafras-Tenant, Authorization\r\n\r\n" +
+			"1\r\na\r\n0\r\nX-Sassafras-Tenant: forged\r\nAuthorization: Bearer key-e\r\n\r\n", []int{200}, []string{"north"}},
+		{"key in a trailer", "POST /order/1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTrailer: Authorization\r\n\r\n" +
+			"1\r\na\r\n0\r\nAuthorization: Bearer key-e\r\n\r\n", []int{401}, nil},
+		{"pipelined with several keys", first + key + "\r\n" + first + "Authorization: Bearer key-e\r\n\r\n" + first + "\r\n" + first + key + "\r\n",
+			[]int{200, 200, 401, 200}, []string{"east", "north", "north"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			before := f.hosts.dispatched()
+			conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, c.sent)
+			is.NoErr(err)
+			reader := bufio.NewReader(conn)
+			for _, status := range c.statuses {
+				response, err := http.ReadResponse(reader, nil)
+				is.NoErr(err)
+				is.Equal(response.StatusCode, status)
+				_, err = io.Copy(io.Discard, response.Body)
+				is.NoErr(err)
+			}
+			f.hosts.mutex.Lock()
+			defer f.hosts.mutex.Unlock()
+			var tenants []string
+			for _, head := range f.hosts.heads[before:] {
+				tenants = append(tenants, head.GetTenant())
+				for _, field := range head.GetHeaders() {
+					is.True(!strings.Contains(field.GetValue(), "forged") && !strings.Contains(field.GetValue(), "key-"))
+					is.True(!strings.EqualFold(field.GetName(), HeaderTenant) || field.GetValue() == head.GetTenant())
+				}
+			}
+			slices.Sort(tenants) // requests that are started early reach a host in any order
+			is.Equal(tenants, c.tenants)
+		})
+	}
+}
+
 // fakeCopy is a ConfigurationCopy whose state the test sets.
 type fakeCopy struct {
 	age        time.Duration
--- a/mesh/source/tenant_test.go
+++ b/mesh/source/tenant_test.go
@@ -3,16 +3,21 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/coord/store"
+	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
 // tenantConfiguration returns a configuration with a public route and a tenant for each key.
@@ -81,6 +86,80 @@
 	is.Equal(len(rows.Orders), 1)
 }
 
+// formerPeers makes all daemons of a zone reply as those of a release that knows no tenants.
+type formerPeers struct {
+	*zone
+	stripped atomic.Int64 // replies with a configuration
+}
+
+func (f *formerPeers) Control(ctx context.Context, host, address string, request *peerpb.ControlRequest) (*peerpb.ControlReply, error) {
+	reply, err := f.zone.Control(ctx, host, address, request)
+	if err != nil || len(reply.GetRows().GetRows()) == 0 {
+		return reply, err
+	}
+	reader, err := gzip.NewReader(bytes.NewReader(reply.GetRows().GetRows()))
+	if err != nil {
+		return nil, err
+	}
+	var rows map[string]any
+	if err := json.NewDecoder(reader).Decode(&rows); err != nil {
+		return nil, err
+	}
+	delete(rows, "format")
+	if configuration, ok := rows["configuration"].(map[string]any); ok {
+		delete(configuration, "tenants")
+		f.stripped.Add(1)
+	}
+	var out bytes.Buffer
+	writer := gzip.NewWriter(&out)
+	if err := errors.Join(json.NewEncoder(writer).Encode(rows), writer.Close()); err != nil {
+		return nil, err
+	}
+	next := proto.Clone(reply).(*peerpb.ControlReply)
+	next.GetRows().Rows, next.GetRows().Checksum = out.Bytes(), checksum(out.Bytes())
+	return next, nil
+}
+
+// A daemon beside others of a former release must have each configuration in time and with its tenants, though
+// those pass it on without.
+func TestTenantsAmongDaemonsOfAFormerRelease(t *testing.T) {
+	is := is.New(t)
+	r := newFakeStore()
+	write := func(number uint64, key string) {
+		r.write(func(version store.Position) {
+			c := tenantConfiguration(number, key)
+			c.Position = version
+			r.changes.Configurations = []Configuration{c}
+		})
+	}
+	write(1, "key-a")
+	z := startZone(t, r, 4)
+	z.waitApplied(1)
+	z.waitFollowing()
+	peers := &formerPeers{zone: z}
+	l := &link{fakeStore: r}
+	s := New(Self{"host-new", "a"}, l, l, members{z}, peers, testTiming, zap.NewNop())
+	var without atomic.Bool
+	s.OnApply(func(snapshot *revision.Snapshot) { without.Store(without.Load() || len(snapshot.Tenants()) != 1) })
+	s.Start()
+	t.Cleanup(s.Stop)
+	for number, key := range []string{1: "key-a", 2: "key-b", 3: "key-c"} {
+		if number == 0 {
+			continue
+		}
+		if number > 1 {
+			write(uint64(number), key)
+		}
+		written := time.Now()
+		eventually(t, "the configuration with its tenant", func() bool { return s.number() == uint64(number) })
+		is.True(time.Since(written) < testTiming.ApplyWithin)
+		_, known := s.Snapshot().TenantByKey(key)
+		is.True(known)
+	}
+	is.True(!without.Load())
+	is.True(peers.stripped.Load() > 0)
+}
+
 // An invalid configuration must leave the tenants in force as they are.
 func TestInvalidTenantsKeepThePresentConfiguration(t *testing.T) {
 	is := is.New(t)
