--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -28,6 +28,8 @@
 	HeaderHops = "X-Sassafras-Hops"
 	// HeaderIdempotencyKey carries the idempotency key of a keyed request.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderTenant is the name of the tenant whose API key a request carried. Targets receive it.
+	HeaderTenant = "X-Sassafras-Tenant"
 	// HeaderReplayed is "true" on the recorded response of a keyed request that ran before.
 	HeaderReplayed = "X-Sassafras-Replayed"
 )
@@ -127,6 +129,9 @@
 	header.Set(HeaderOutcome, failed.outcome.String())
 	header.Set(c.entry.deps.Conventions.RequestIDHeader, c.requestID)
 	header.Set("Content-Type", "application/json")
+	if failed.reason == ReasonUnauthorized {
+		header.Set("WWW-Authenticate", bearerScheme)
+	}
 	if failed.retryable() {
 		header.Set("Retry-After", c.entry.deps.Conventions.retryAfter(failed.retryAfter))
 	}
@@ -178,7 +183,7 @@
 		return
 	}
 	line.Write(zap.String("request_id", c.requestID), zap.String("service", c.service),
-		zap.String("route", c.route.Name), zap.String("peer", e.endpoint.Host), zap.String("peer_zone", e.endpoint.Zone),
+		zap.String("route", c.route.Name), c.tenantField(), zap.String("peer", e.endpoint.Host), zap.String("peer_zone", e.endpoint.Zone),
 		zap.String("version", e.endpoint.Version), zap.Stringer("outcome", retry.Responded), zap.Int("status", e.status),
 		zap.Bool("cut", e.truncated), zap.Int("attempts", c.attempts), zap.Uint64("revision", c.snapshot.Revision()),
 		zap.Duration("took", time.Since(c.startedAt)), zap.Duration("left", time.Until(c.deadline)))
@@ -208,6 +213,7 @@
 		path := c.httpRequest.URL.Path
 		fields = append(fields, zap.String("authority", c.httpRequest.Host), zap.String("path", path[:min(len(path), maxLoggedPath)]))
 	}
+	fields = append(fields, c.tenantField())
 	if c.snapshot != nil {
 		fields = append(fields, zap.Uint64("revision", c.snapshot.Revision()))
 	}
@@ -223,6 +229,10 @@
 		return
 	}
 	c.result.Service = c.service
+	c.result.WithTenants = len(c.snapshot.Tenants()) > 0
+	if c.tenant != nil {
+		c.result.Tenant = c.tenant.Name
+	}
 	c.result.CallerDisconnected = c.httpRequest.Context().Err() != nil
 	if !c.startedAt.IsZero() {
 		c.result.Duration = time.Since(c.startedAt)
