Evacuate availability zones by rows of the operator's table

Cause: a row op/evacuate/ZONE was ignored, and removed rows of the table were skipped, since a configuration stays in force until it is replaced.

Change: the rows and their removals are decoded. A daemon holds them as a set that is complete as of a position of the store; daemons hand the whole set over, and for each zone the later knowledge applies, so that an older row from another daemon never undoes a removal, and a row that a complete read lacks is removed. After the store came back from an older copy, the last acknowledged state stays in force until the operator writes the zone's row or removes it, for at most 20 s. Entries leave the hosts of evacuated zones out; the exits there refuse what is queued and what arrives, as a refusal by admission control that costs the retry budget nothing.

--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -79,6 +79,8 @@
 	Expired
 	// Leaving means that the target accepts no new work.
 	Leaving
+	// Evacuated means that the target is to receive no requests for now.
+	Evacuated
 )
 
 // Action is the verdict on the request with an ID. Reason is set with Refuse only.
--- a/coord/revision/tenant.go
+++ b/coord/revision/tenant.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 )
 
 // HashKey returns the hash of an API key as it is held in Tenant.KeyHashes.
@@ -21,6 +22,18 @@
 	return tenant, ok
 }
 
+// EvacuatedZones returns the availability zones whose targets are to receive no requests, sorted.
+func (s *Snapshot) EvacuatedZones() []string {
+	var zones []string
+	for ref := range s.entries {
+		if ref.Kind == KindEvacuation {
+			zones = append(zones, ref.Name)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 // Evacuated reports whether the targets of the availability zone are to receive no requests.
 func (s *Snapshot) Evacuated(zone string) bool {
 	_, ok := s.entries[Ref{KindEvacuation, zone}]
--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/descriptors"
+	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/mesh/acceptor"
 	"sassafrasnotch.example/mesh/claim"
 	"sassafrasnotch.example/mesh/controller"
@@ -122,6 +123,10 @@
 	l.Exit.OnChange(l.Members.SetTargets)
 	l.Exit.OnCrash(crashReporter{l.Members, l.Pool}.report)
 	l.Configuration.OnApply(l.Recorder.RecordApplied)
+	l.Configuration.OnApply(func(snapshot *revision.Snapshot) {
+		l.Exit.SetEvacuated(snapshot.Evacuated(l.Settings.Zone))
+		l.Entry.SetEvacuated(snapshot.EvacuatedZones())
+	})
 	l.Members.OnChange(l.Entry.SetMembers)
 	l.Members.OnChange(newMemberLog(l.Logger.Named("membership")).logChanges)
 	l.Members.OnNewerRevision(l.Configuration.ObserveRevision)
--- a/mesh/entry/routing.go
+++ b/mesh/entry/routing.go
@@ -27,6 +27,7 @@
 	mutex sync.Mutex
 	// The fields below are guarded by mutex.
 	members         []gossip.Member
+	evacuated       []string // zones whose endpoints receive no requests
 	pendingVersions *balance.PendingVersions
 	start           time.Time
 	holdTimer       *time.Timer // ends the hold of a pending version
@@ -87,7 +88,7 @@
 			r.index.Store(r.newIndex())
 		})
 	}
-	return balance.NewIndex(r.self, r.members, r.index.Load()).WithPending(pending)
+	return balance.NewIndex(r.self, r.usableMembers(), r.index.Load()).WithPending(pending)
 }
 
 func (r *routing) setRetrySettings(retrySettings settings.Retry) {
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -89,6 +89,8 @@
 	switch {
 	case e.leaving:
 		return &refusal{reason: peerpb.RefusalReason_REFUSAL_REASON_LEAVING, detail: "the host is leaving"}
+	case e.evacuated:
+		return evacuatedRefusal()
 	case c.fingerprint != 0 && e.crashes.isQuarantined(c.fingerprint, now):
 		return &refusal{
 			reason: peerpb.RefusalReason_REFUSAL_REASON_QUARANTINED,
@@ -207,6 +209,8 @@
 	switch reason {
 	case admission.Expired:
 		return &refusal{reason: peerpb.RefusalReason_REFUSAL_REASON_EXPIRED, detail: "the deadline passed before a slot was free"}
+	case admission.Evacuated:
+		return evacuatedRefusal()
 	case admission.Leaving:
 		return &refusal{reason: peerpb.RefusalReason_REFUSAL_REASON_LEAVING, detail: "the target is leaving"}
 	}
--- a/mesh/exit/callerrequest.go
+++ b/mesh/exit/callerrequest.go
@@ -110,6 +110,9 @@
 	c.exit.mu.Lock()
 	load, wait, failures := c.exit.loadOf(c.key, now), c.exit.wait(c.key, now), c.exit.failureRate(c.key, now)
 	service := c.exit.serviceTime(c.key, c.head.Route)
+	if c.exit.evacuated {
+		wait = evacuatedWait
+	}
 	c.exit.mu.Unlock()
 	reported := &c.firstFrame.load
 	reported.Outstanding = int32(load.Outstanding)
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -53,6 +53,7 @@
 	onChange        func([]gossip.Target)
 	onCrash         func(CrashReport)
 	leaving         bool
+	evacuated       bool // see SetEvacuated
 	lastAdmissionID uint64
 	inFlight        int           // requests that hold a slot or are queued
 	drained         chan struct{} // closed when the host is leaving and no request is in flight
--- a/mesh/source/apply.go
+++ b/mesh/source/apply.go
@@ -27,6 +27,7 @@
 				zap.Uint64("ticket", uint64(order.Position)))
 		}
 	}
+	s.applyEvacuations(changes)
 	if s.state.expireOutdated(time.Now()) {
 		s.logger.Warn("configuration of a former era of the store not written again; that of the store applies")
 	}
@@ -37,6 +38,19 @@
 	}
 }
 
+// applyEvacuations adds changed orders to evacuate zones. The caller holds s.mu.
+func (s *Source) applyEvacuations(changes OperatorChanges) {
+	now := time.Now()
+	var changed bool
+	if changes.Complete {
+		changed = s.state.evacuations.addRead(changes.Evacuations, changes.Through, now)
+	} else {
+		changed = s.state.evacuations.addChanges(changes.Evacuations, changes.Through)
+	}
+	changed = s.state.evacuations.expire(now) || changed
+	s.state.changed = s.state.changed || changed
+}
+
 // applyRollouts adds changed rows of rollouts and publishes the result.
 func (s *Source) applyRollouts(changes RolloutChanges) {
 	s.mu.Lock()
@@ -86,7 +100,7 @@
 	s.members.SetRevisions(revisions)
 	s.logger.Info("configuration applied", zap.Uint64("revision", next.Revision()),
 		zap.Uint64("ticket", s.state.configuration.Number), zap.Int("routes", len(s.state.configuration.Routes)),
-		zap.Int("moves", len(next.RunningRollouts())), zap.String("origin", origin))
+		zap.Int("moves", len(next.RunningRollouts())), zap.Strings("evacuated", s.state.evacuations.zones()), zap.String("origin", origin))
 	for _, notify := range s.onApply {
 		notify(next)
 	}
--- a/mesh/source/gossip.go
+++ b/mesh/source/gossip.go
@@ -33,6 +33,9 @@
 	switch {
 	case s.followsReader():
 		s.goroutines.Go(func() { s.fetch(report, s.applyFraction(fetchDelayFraction)) })
+	case s.followsStore.Load() && uint64(s.state.evacuations.asOf) >= report.Revisions.Latest:
+		// The store was read later: only the removal of a row that is gone can be missing here.
+		s.goroutines.Go(func() { s.fetch(report, 0) })
 	case s.followsStore.Load():
 		s.goroutines.Go(func() { s.rereadUnlessApplied(report.Revisions, s.applyFraction(rereadDelayFraction)) })
 	default:
--- a/mesh/source/handover.go
+++ b/mesh/source/handover.go
@@ -28,6 +28,8 @@
 	Rollouts      []RolloutRow   `json:"moves,omitempty"`
 	// Barred lists the versions that were rolled back, by service, for the services in Rollouts.
 	Barred map[string][]string `json:"barred,omitempty"`
+	// Evacuations are sent whole if anything about them is newer.
+	Evacuations *evacuationSet `json:"evacuations,omitempty"`
 }
 
 // orderRow is an observedOrder as it is encoded.
@@ -38,9 +40,13 @@
 
 // empty reports whether there are no rows.
 func (r *rowSet) empty() bool {
-	return r.Configuration == nil && len(r.Orders) == 0 && len(r.Rollouts) == 0
+	return r.Configuration == nil && len(r.Orders) == 0 && len(r.Rollouts) == 0 && r.Evacuations == nil
 }
 
+// evacuationRows is the name under which a query states the version and the revision of the evacuations
+// held. No service has it, and daemons of a release that knows no evacuations do not send it.
+const evacuationRows = ""
+
 // heldVersions returns a query that states the store version of each row held. Equal states return
 // equal queries.
 func (s *rowState) heldVersions() *peerpb.RowsQuery {
@@ -62,6 +68,8 @@
 	for service, row := range s.rollouts {
 		rowsOf(service).Move = uint64(row.Position)
 	}
+	held := rowsOf(evacuationRows)
+	held.Order, held.Move = uint64(s.evacuations.version), uint64(s.evacuations.revision)
 	slices.SortFunc(query.Services, func(a, b *peerpb.ServiceRows) int { return strings.Compare(a.Service, b.Service) })
 	return query
 }
@@ -74,6 +82,12 @@
 	}
 	orders, rollouts := make(map[string]uint64), make(map[string]uint64)
 	for _, service := range query.GetServices() {
+		if service.GetService() == evacuationRows {
+			if uint64(s.evacuations.version) > service.GetOrder() || uint64(s.evacuations.revision) > service.GetMove() {
+				rows.Evacuations = s.evacuations.set()
+			}
+			continue
+		}
 		orders[service.GetService()], rollouts[service.GetService()] = service.GetOrder(), service.GetMove()
 	}
 	for service, order := range s.orders {
@@ -109,6 +123,9 @@
 	for _, row := range rows.Rollouts {
 		problems = append(problems, s.addRollout(row))
 	}
+	if rows.Evacuations != nil && s.evacuations.merge(rows.Evacuations, now) {
+		s.changed = true
+	}
 	for service, versions := range rows.Barred {
 		for _, version := range versions {
 			s.bar(service, version)
--- a/mesh/source/row_state.go
+++ b/mesh/source/row_state.go
@@ -24,8 +24,9 @@
 	formerOrders map[string][]RolloutOrder
 	rollouts     map[string]RolloutRow // by service, the newest of each
 	// barred holds the versions that were rolled back, by service.
-	barred map[string]map[string]bool
-	settle time.Duration // Timing.Settle
+	barred      map[string]map[string]bool
+	evacuations evacuations
+	settle      time.Duration // Timing.Settle
 	// changed is set if a row was added since the last published snapshot. The revision does not show
 	// this, since a row may arrive after others that were written later.
 	changed bool
@@ -45,6 +46,7 @@
 		formerOrders: make(map[string][]RolloutOrder),
 		rollouts:     make(map[string]RolloutRow),
 		barred:       make(map[string]map[string]bool),
+		evacuations:  newEvacuations(),
 	}
 }
 
@@ -167,6 +169,10 @@
 	for i := range s.configuration.Routes {
 		resources = append(resources, revision.Resource{Route: &s.configuration.Routes[i]})
 	}
+	for _, zone := range s.evacuations.zones() {
+		resources = append(resources, revision.Resource{Evacuation: &revision.Evacuation{Zone: zone}})
+	}
+	newest = max(newest, s.evacuations.revision)
 	return revision.NewSnapshot(uint64(newest), s.configuration.Number, resources)
 }
 
@@ -174,7 +180,7 @@
 // are read separately, so that a host may have the newer ones of one kind and the older ones of the
 // other. latest is the revision of the snapshot.
 func (s *rowState) revisions(latest uint64) gossip.Revisions {
-	configuration, rollouts := s.configuration.Position, store.Position(0)
+	configuration, rollouts := max(s.configuration.Position, s.evacuations.revision), store.Position(0)
 	for _, order := range s.orders {
 		configuration = max(configuration, order.Position)
 	}
--- a/mesh/source/rows.go
+++ b/mesh/source/rows.go
@@ -35,6 +35,10 @@
 	Through        store.Position
 	Configurations []Configuration // in the order in which they were written
 	Orders         []RolloutOrder
+	// Evacuations are the orders to evacuate zones, and the removals of such orders.
+	Evacuations []EvacuationRow
+	// Complete is set if these are all rows and not only changed ones.
+	Complete bool
 	// Invalid lists the rows that could not be decoded; no part of them is applied.
 	Invalid []InvalidRow
 }
