Hold cold targets to the rate of their service

Cause: targets state in heartbeats that they are cold, and services what a cold target tolerates in a second; the exit sent at the rate of a warm one, and knew the cold period from the first heartbeat only.

The pacer of admission holds a cold target to the rate, without tokens at first, and counts all requests of the last second, those before it turned cold included. A target is cold while a heartbeat or a response states so. It is assumed to be cold after 4 s of silence, after an evacuation, a crash or lost connections, until a fresh heartbeat or health response; such a target is asked once a second. Slots shrink in load reports and gossip. A request is not repeated on the same target beyond the rate.

--- a/coord/admission/pacer.go
+++ b/coord/admission/pacer.go
@@ -13,12 +13,14 @@
 	minRate = 0.25
 )
 
-// pacer holds the requests to a target to the rate that it names. Tokens accrue at that rate, up to
-// those of burstTime, and each request takes one. The zero value allows any number of requests.
+// pacer holds the requests to a target to the rate that it names, and to that of its service while it is
+// cold. Tokens accrue at the named rate, up to those of burstTime, and each request takes one. The zero value
+// allows any number of requests.
 type pacer struct {
 	rate      float64 // requests per second; 0 means no limit
 	tokens    float64 // below 0 after requests that were not held back
 	updatedAt time.Time
+	cold      coldPacer
 }
 
 // setRate changes the rate. The first rate that a target names allows the burst at once.
@@ -48,20 +50,27 @@
 	if p.rate > 0 {
 		p.tokens--
 	}
+	p.cold.take(now)
 }
 
 // delay returns the time until a request with ahead others before it may run.
 func (p *pacer) delay(ahead int, now time.Time) time.Duration {
 	p.refill(now)
+	cold := p.cold.delay(ahead, now)
 	missing := float64(ahead+1) - p.tokens
 	if p.rate == 0 || missing <= 0 {
-		return 0
+		return cold
 	}
-	return time.Duration(math.Ceil(missing / p.rate * float64(time.Second)))
+	return max(cold, tokenDelay(missing, p.rate))
 }
 
-// slots returns the number of slots that the rate keeps busy, with requests of the given service time;
-// at least one.
-func (p *pacer) slots(service time.Duration) int {
-	return max(1, int(math.Ceil(p.rate*service.Seconds())))
+// tokenDelay returns the time in which a rate adds the missing tokens.
+func tokenDelay(missing, rate float64) time.Duration {
+	return time.Duration(math.Ceil(missing / rate * float64(time.Second)))
+}
+
+// busySlots returns the number of slots that a rate keeps busy, with requests of the given service time; at
+// least one.
+func busySlots(rate float64, service time.Duration) int {
+	return max(1, int(math.Ceil(rate*service.Seconds())))
 }
--- a/coord/admission/rate.go
+++ b/coord/admission/rate.go
@@ -11,7 +11,7 @@
 
 // ClearRate ends the limit of SetRate and returns the actions on queued requests.
 func (t *Target) ClearRate(now time.Time) []Action {
-	t.pacer = pacer{}
+	t.pacer = pacer{cold: t.pacer.cold}
 	return t.Tick(now)
 }
 
@@ -28,12 +28,20 @@
 }
 
 // RatedSlots returns the number of slots that the target can keep busy: all, or fewer if it names a
-// rate.
+// rate or is cold.
 func (t *Target) RatedSlots() int {
-	if t.pacer.rate == 0 || !t.service.initialized {
-		return t.config.Slots
+	slots := t.config.Slots
+	if t.pacer.rate > 0 && t.service.initialized {
+		slots = min(slots, busySlots(t.pacer.rate, t.service.value))
 	}
-	return min(t.config.Slots, t.pacer.slots(t.service.value))
+	if rate := t.pacer.cold.rate; rate > 0 {
+		service := coldServiceTime
+		if t.service.initialized {
+			service = t.service.value
+		}
+		slots = min(slots, busySlots(rate, service))
+	}
+	return slots
 }
 
 // mayRun reports whether a slot is free and the rate allows a request now.
--- a/mesh/admin/api.go
+++ b/mesh/admin/api.go
@@ -45,6 +45,9 @@
 	// ColdRemaining is the remaining time for which the target is slow after its start. It applies
 	// if Incarnation is set; other targets warm up according to the settings.
 	ColdRemaining revision.Duration `json:"cold,omitempty"`
+	// ColdUnstated is set by a target that does not state ColdRemaining. It is then cold for the time after
+	// its start that its service has.
+	ColdUnstated bool `json:"coldUnstated,omitempty"`
 }
 
 // AnnouncementResponse holds the time for which an announcement is valid, formatted as a
--- a/mesh/daemon/requests.go
+++ b/mesh/daemon/requests.go
@@ -27,7 +27,8 @@
 var requestsModule = fx.Module("calls", fx.Provide(
 	func(identity peer.Identity, s settings.Settings, a adapter.Adapter, c configuration, budget *descriptors.Budget, metrics *telemetry.RequestMetrics, logger *zap.Logger) *exit.Exit {
 		options := []exit.Option{exit.WithBudget(budget), exit.WithLatencyBound(latencyBounds{c}.bound), exit.WithQueueObserver(metrics.ObserveQueueWait),
-			exit.WithRecordedDepartures(), exit.WithHealthCheck(healthPaths{c}.path)}
+			exit.WithRecordedDepartures(), exit.WithHealthCheck(healthPaths{c}.path),
+			exit.WithColdPolicy(coldPolicies{c}.policy)}
 		if s.Configuration.Source == settings.SourceOperator {
 			options = append(options, exit.WithConventions(a.TargetConventions))
 		}
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -86,9 +86,10 @@
 	t.Slots = a.Slots
 	t.Sequence = a.Sequence
 	t.admission.SetSlots(a.Slots)
-	if t.namedRate == nil {
+	if t.namedRate == nil && t.admission.ColdRate() == 0 {
 		t.reportedSlots = a.Slots
 	}
+	e.observeAnnouncement(t, a, now)
 	if a.Leaving {
 		e.recordDeparture(a.Instance, a.Incarnation, now)
 	}
@@ -197,6 +198,11 @@
 	a.Leaving = false
 	t := newTarget(a, config, e.targetConns, now)
 	t.coldUntil = now.Add(a.ColdRemaining.Std())
+	if _, doubted := e.doubted[a.Instance]; doubted {
+		// The heartbeat may have been sent before the target ended.
+		t.cold.assumed, t.cold.ignore = true, 1
+		delete(e.doubted, a.Instance)
+	}
 	e.targets[a.Instance] = t
 	e.versions[t.key] = append(e.versions[t.key], t)
 	e.log.Info("target announced", zap.String("instance", a.Instance),
@@ -254,6 +260,7 @@
 			e.removeTarget(t)
 			continue
 		}
+		e.tickCold(t, now)
 		e.deliver(t, t.admission.Tick(now), now)
 		t.conns.expire(now)
 	}
@@ -263,6 +270,11 @@
 			delete(e.withdrawals, instance)
 		}
 	}
+	for instance, at := range e.doubted {
+		if now.Sub(at) > withdrawalRetention {
+			delete(e.doubted, instance)
+		}
+	}
 	e.departures.Expire(now)
 	e.tickHeld(now)
 	e.mu.Unlock()
--- /dev/null
+++ b/mesh/exit/cold_test.go
@@ -0,0 +1,150 @@
+package exit_test
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/mesh/admin"
+	"sassafrasnotch.example/mesh/exit"
+	"sassafrasnotch.example/mesh/settings"
+)
+
+const (
+	coldRate  = 10
+	coldLimit = coldRate*3/2 + 8 // in any second; well above that a cold target crashes
+)
+
+// coldFixture is a fixture with one target of a service whose cold targets tolerate coldRate.
+type coldFixture struct {
+	*fixture
+	known atomic.Bool // there is a configuration
+	mu    sync.Mutex
+	runs  []time.Time
+	beat  admin.Announcement
+}
+
+func newColdFixture(t *testing.T, cold time.Duration) *coldFixture {
+	c := &coldFixture{}
+	c.known.Store(true)
+	policy := func(string) exit.ColdPolicy {
+		if !c.known.Load() {
+			return exit.ColdPolicy{}
+		}
+		return exit.ColdPolicy{Rate: coldRate, Known: true}
+	}
+	conventions := exit.DefaultConventions
+	conventions.ColdRemaining = "X-Cold"
+	c.fixture = newFixtureOf(t, []exit.Option{exit.WithColdPolicy(policy), exit.WithConventions(conventions)}, func(s *settings.Settings) {
+		s.Exit.AnnounceTTL = revision.Duration(time.Minute)
+	})
+	server := c.target(12, func(w http.ResponseWriter, r *http.Request) {
+		c.mu.Lock()
+		c.runs = append(c.runs, time.Now())
+		c.mu.Unlock()
+		if r.URL.Path == "/cold" {
+			w.Header().Set("X-Cold", "60000")
+		}
+	})
+	c.exit.Withdraw("t1")
+	c.beat = admin.Announcement{Instance: "t2", Service: "desk", Version: "v1", Address: server.Listener.Addr().String(), Slots: 12, Incarnation: 1}
+	c.heartbeat(cold)
+	return c
+}
+
+func (c *coldFixture) heartbeat(cold time.Duration) {
+	c.t.Helper()
+	c.beat.Sequence++
+	c.beat.ColdRemaining = revision.Duration(cold)
+	is.New(c.t).NoErr(c.exit.Announce(c.beat))
+}
+
+// flood sends requests from several callers for a time and returns the most runs in any second that ends in it,
+// with those before.
+func (c *coldFixture) flood(span time.Duration) (most int) {
+	began := time.Now()
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for time.Since(began) < span {
+				head := requestHead(http.MethodGet, "/", "")
+				wait := int64(0)
+				head.MaxWaitMicros = &wait
+				stream := c.send(head)
+				receive(c.t, stream)
+				stream.Discard()
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := 0
+	for i, at := range c.runs {
+		for at.Sub(c.runs[first]) >= time.Second {
+			first++
+		}
+		if at.After(began) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
+// Guards against a cold target that crashes because of what entries send, or of what the daemon sent while it
+// did not know that the target was cold.
+func TestColdTargetIsHeldToTheRateOfItsService(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		began time.Duration // cold period that the first heartbeat states
+		turn  func(*coldFixture)
+	}{
+		{"from its start", time.Minute, func(*coldFixture) {}},
+		{"before the configuration is known", time.Minute, func(c *coldFixture) { c.known.Store(false); c.exit.Tick(time.Now()) }},
+		{"by a heartbeat in the middle of traffic", 0, func(c *coldFixture) { c.flood(300 * time.Millisecond); c.heartbeat(time.Minute) }},
+		{"by a response in the middle of traffic", 0, func(c *coldFixture) {
+			c.flood(300 * time.Millisecond)
+			receive(c.t, c.send(requestHead(http.MethodGet, "/cold", "")))
+			c.heartbeat(0) // it may have been sent before the response
+		}},
+		{"after an evacuation", 0, func(c *coldFixture) { c.exit.SetEvacuated(true); c.exit.SetEvacuated(false) }},
+		{"after silence", 0, func(c *coldFixture) { c.exit.Tick(time.Now().Add(5 * time.Second)) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			fx := newColdFixture(t, c.began)
+			c.turn(fx)
+			fx.mu.Lock()
+			sent := len(fx.runs)
+			fx.mu.Unlock()
+			most := fx.flood(1500 * time.Millisecond)
+			t.Logf("%d runs before, at most %d in a second", sent, most)
+			is.True(most <= max(coldLimit*3/4, sent+1))
+			targets := fx.exit.Targets()
+			is.Equal(targets[0].State, gossip.TargetCold)
+			is.Equal(targets[0].Slots, 1) // others count on what it can do
+		})
+	}
+}
+
+// Guards against a target that stays held to the rate though a fresh heartbeat states that it is warm.
+func TestAssumedColdEndsWithAFreshHeartbeat(t *testing.T) {
+	is := is.New(t)
+	fx := newColdFixture(t, 0)
+	fx.exit.Tick(time.Now().Add(5 * time.Second))
+	cold, periods := fx.exit.ColdTargets()
+	is.Equal(cold, 1)
+	is.Equal(periods, uint64(1))
+	fx.heartbeat(0)
+	cold, _ = fx.exit.ColdTargets()
+	is.Equal(cold, 0)
+	is.True(fx.flood(300*time.Millisecond) > coldLimit)
+}
--- a/mesh/exit/conventions.go
+++ b/mesh/exit/conventions.go
@@ -34,6 +34,8 @@
 	Leaving string
 	// HealthInstance names the field in which a target names itself in the response to a health check.
 	HealthInstance string
+	// ColdRemaining names the response field in which a target states for how many milliseconds it stays cold.
+	ColdRemaining string
 	// AllowUnframed accepts close-delimited responses (RFC 9112): those with neither a length nor
 	// chunks, which end with their connection.
 	AllowUnframed bool
--- a/mesh/exit/crash.go
+++ b/mesh/exit/crash.go
@@ -238,6 +238,7 @@
 func (e *Exit) removeAndNotify(t *target) {
 	e.mu.Lock()
 	if e.targets[t.Instance] == t {
+		e.doubted[t.Instance] = time.Now()
 		e.removeTarget(t)
 	}
 	e.mu.Unlock()
--- a/mesh/exit/dispatch.go
+++ b/mesh/exit/dispatch.go
@@ -49,7 +49,10 @@
 // dispatch sends the request to its target and the response to the caller.
 func (c *callerRequest) dispatch() result {
 	response, err := c.exchange(c.target.conns.get)
-	if err != nil && c.retriable() && !c.exit.Evacuated() {
+	if err != nil && c.dispatched && c.ctx.Err() == nil {
+		c.exit.observeLoss(c.target)
+	}
+	if err != nil && c.retriable() && c.exit.mayRepeat(c.target) {
 		if c.dispatched {
 			c.exit.countRepeat(c.target)
 		}
--- a/mesh/exit/evacuation.go
+++ b/mesh/exit/evacuation.go
@@ -28,6 +28,8 @@
 		if evacuated {
 			refused += t.admission.Load(now).Queued
 			t.deliver(t.admission.Evacuate())
+		} else {
+			e.assumeCold(t, "evacuation ended", now)
 		}
 	}
 	e.mu.Unlock()
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -34,26 +34,31 @@
 	outcomes     outcomes
 	targetConns  *limitedconn.Limit
 	healthPath   func(service string) string
+	coldPolicy   func(service string) ColdPolicy
 	// departuresKnown means that no earlier process of this daemon has acknowledged departures.
 	departuresKnown bool
 
 	changeMu        sync.Mutex      // serializes calls of onChange; locked before mu
 	reportedTargets []gossip.Target // passed to onChange last; guarded by changeMu
 
-	mu              sync.Mutex
-	targets         map[string]*target // by instance
-	versions        map[versionKey][]*target
-	withdrawals     map[string]withdrawal // withdrawn targets, by instance
-	departures      *departure.Ledger
-	held            map[string]*heldTarget // by instance
-	recorded        chan struct{}          // closed and replaced by DeparturesRecorded
-	departed        bool                   // a departure was recorded and not yet notified
-	onDeparture     func()
-	crashes         crashTracker
-	onChange        func([]gossip.Target)
-	onCrash         func(CrashReport)
-	leaving         bool
-	evacuated       bool // see SetEvacuated
+	mu          sync.Mutex
+	targets     map[string]*target // by instance
+	versions    map[versionKey][]*target
+	withdrawals map[string]withdrawal // withdrawn targets, by instance
+	departures  *departure.Ledger
+	held        map[string]*heldTarget // by instance
+	recorded    chan struct{}          // closed and replaced by DeparturesRecorded
+	departed    bool                   // a departure was recorded and not yet notified
+	onDeparture func()
+	crashes     crashTracker
+	onChange    func([]gossip.Target)
+	onCrash     func(CrashReport)
+	leaving     bool
+	evacuated   bool // see SetEvacuated
+	coldPeriods uint64
+	// doubted holds the instances that were removed without their own word, and may have restarted, with
+	// the time.
+	doubted         map[string]time.Time
 	lastAdmissionID uint64
 	inFlight        int           // requests that hold a slot or are queued
 	drained         chan struct{} // closed when the host is leaving and no request is in flight
@@ -101,6 +106,8 @@
 		held:         make(map[string]*heldTarget),
 		recorded:     make(chan struct{}),
 		healthPath:   func(string) string { return "" },
+		coldPolicy:   func(string) ColdPolicy { return ColdPolicy{Known: true} },
+		doubted:      make(map[string]time.Time),
 		onDeparture:  func() {},
 		outcomes:     newOutcomes(self.Zone),
 		targetConns:  &limitedconn.Limit{Budget: descriptors.Unlimited(), Part: descriptors.Targets},
--- a/mesh/exit/held.go
+++ b/mesh/exit/held.go
@@ -87,7 +87,7 @@
 	e.mu.Lock()
 	instance, address := held.announcement.Instance, held.announcement.Address
 	e.mu.Unlock()
-	err := e.checkHealth(instance, address, path)
+	_, err := e.checkHealth(instance, address, path)
 	if err != nil {
 		e.log.Info("target stays held", zap.String("instance", instance), zap.Error(err))
 		return
@@ -101,13 +101,14 @@
 	e.notifyChange()
 }
 
-// checkHealth returns nil if the target responds to a health check with status 200 and names itself.
-func (e *Exit) checkHealth(instance, address, path string) error {
+// checkHealth returns the header of the response to a health check if the target responds with status 200 and
+// names itself.
+func (e *Exit) checkHealth(instance, address, path string) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	dialer := net.Dialer{Timeout: targetDialTimeout}
 	transport := &http.Transport{
@@ -117,14 +118,14 @@
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	_ = response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return errUnhealthy
+		return nil, errUnhealthy
 	}
 	if response.Header.Get(e.conventions.HealthInstance) != instance {
-		return errOtherTarget
+		return nil, errOtherTarget
 	}
-	return nil
+	return response.Header, nil
 }
--- a/mesh/exit/notice.go
+++ b/mesh/exit/notice.go
@@ -18,6 +18,9 @@
 	rateValid bool
 	// leaving means that the target takes no further requests.
 	leaving bool
+	// cold is how long the target stays cold, if coldStated is set.
+	cold       time.Duration
+	coldStated bool
 }
 
 // notice returns what the target of a response states of itself. ok is false if the response may be of
@@ -28,6 +31,7 @@
 	}
 	conventions := &c.exit.conventions
 	n.leaving = conventions.Leaving != "" && response.Header.Get(conventions.Leaving) == "1"
+	n.cold, n.coldStated = conventions.coldRemaining(response.Header)
 	values := response.Header.Values(conventions.RateLimit)
 	n.rateValid = true
 	if conventions.RateLimit == "" || len(values) == 0 {
@@ -54,6 +58,9 @@
 	if actions := t.admission.RecordResponse(now); len(actions) > 0 {
 		e.deliver(t, actions, now)
 	}
+	if n.coldStated {
+		e.observeCold(t, n.cold, now)
+	}
 	changed := n.rateValid && !equalRates(n.rate, t.namedRate)
 	if changed {
 		e.setRate(t, n.rate, now)
--- a/mesh/exit/target.go
+++ b/mesh/exit/target.go
@@ -18,7 +18,8 @@
 	waiters     map[uint64]chan admission.Action
 	expires     time.Time
 	coldUntil   time.Time // end of the cold period that the target states
-	crashNumber uint64    // 0 until the target has crashed
+	cold        coldState
+	crashNumber uint64 // 0 until the target has crashed
 	conns       *targetPool
 	// namedRate is the number of requests per second that the target takes by its latest response, nil
 	// if it names none.
@@ -58,7 +59,7 @@
 	switch {
 	case t.Leaving:
 		return gossip.TargetLeaving
-	case now.Before(t.coldUntil) || t.admission.Cold(now):
+	case now.Before(t.coldUntil) || t.admission.ColdRate() > 0 || t.admission.Cold(now):
 		return gossip.TargetCold
 	}
 	return gossip.TargetReady
--- a/mesh/exit/targetpool.go
+++ b/mesh/exit/targetpool.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// allStale reports whether the target has closed all idle connections, of which there are some: it has
+// probably ended.
+func (p *targetPool) allStale() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.idle {
+		if !idleconn.Stale(conn.Conn) {
+			return false
+		}
+	}
+	return len(p.idle) > 0
+}
+
 // close closes the idle connections, and makes put close those in use.
 func (p *targetPool) close() {
 	p.mu.Lock()
