--- a/coord/balance/group.go
+++ b/coord/balance/group.go
@@ -26,6 +26,8 @@
 	// ejection serializes ejections through this group, so that concurrent ones do not exceed
 	// maxEjectionPercent together. Other groups may eject the same endpoints.
 	ejection sync.Mutex
+	// regions holds the parts that within has returned, by the lists of regions.
+	regions sync.Map
 }
 
 func newGroup(endpoints []*Endpoint, self Locality) *Group {
--- a/mesh/entry/evacuation.go
+++ b/mesh/entry/evacuation.go
@@ -20,6 +20,13 @@
 	r.index.Store(r.newIndex())
 }
 
+// evacuatedZones returns the zones whose targets receive no requests.
+func (r *routing) evacuatedZones() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.evacuated
+}
+
 // usableMembers returns the members outside evacuated zones. The caller holds mutex.
 func (r *routing) usableMembers() []gossip.Member {
 	if len(r.evacuated) == 0 {
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -79,9 +79,9 @@
 		return refused(ReasonNoTarget, stepBalance, "service "+c.service+" has no split")
 	}
 	plan.budget.Deposit()
-	choice := plan.Choose(c.entry.deps.Random)
+	choice := c.withinRegions(plan.Choose(c.entry.deps.Random))
 	if choice == nil {
-		return refused(ReasonNoTarget, stepBalance, "no target of service "+c.service+" is known")
+		return c.noTarget()
 	}
 	c.triedHosts = c.triedHostsArray[:0]
 	search := balance.NewSearch(choice.Group, c.route.Objective.Std())
@@ -113,7 +113,7 @@
 // targets known now, which may differ from those of the attempt before.
 func (c *callerRequest) retryChoice(last *balance.Choice) *balance.Choice {
 	if plan := c.entry.routing.plan(c.snapshot, c.service); plan != nil {
-		if present := plan.Choose(c.entry.deps.Random); present != nil {
+		if present := c.withinRegions(plan.Choose(c.entry.deps.Random)); present != nil {
 			last = present
 		}
 	}
