Evacuate zones by tickets and show evacuations in status

Cause: where the configuration comes from tickets, there was no order to evacuate a zone.

Change: tickets have evacuations, and a deletion takes one back. A ticket that names a zone of no known daemon, or that leaves no known zone, is refused. sassafrasctl evacuate submits such a ticket and waits until the daemons that answer have it in force; status shows evacuated zones. coldRate and coldDuration of a service are checked.

--- a/coord/revision/check.go
+++ b/coord/revision/check.go
@@ -37,6 +37,7 @@
 	default:
 		problems = append(problems, fmt.Errorf("%s: preference %q is not %q or %q", at, service.Preference, PreferSafety, PreferDeadline))
 	}
+	problems = append(problems, checkCold(at, service)...)
 	if service.LatencyBound < 0 {
 		problems = append(problems, fmt.Errorf("%s: latencyBound is negative", at))
 	}
--- a/coord/ticket/check.go
+++ b/coord/ticket/check.go
@@ -53,13 +53,18 @@
 			report("splits[%d].move: not allowed here; request a rollout under \"moves\"", i)
 		}
 	}
+	for i, evacuation := range t.Evacuations {
+		if evacuation.Zone == "" {
+			report("evacuations[%d].zone: is empty", i)
+		}
+	}
 	t.checkRollouts(report)
 	t.checkDuplicates(report)
 	return problems
 }
 
 func (t *Ticket) isEmpty() bool {
-	return len(t.Services)+len(t.Versions)+len(t.Routes)+len(t.Splits)+len(t.Rollouts)+len(t.Delete) == 0
+	return len(t.Services)+len(t.Versions)+len(t.Routes)+len(t.Splits)+len(t.Rollouts)+len(t.Evacuations)+len(t.Delete) == 0
 }
 
 func checkName(report func(string, ...any), at, name string) {
@@ -122,6 +127,9 @@
 	for i := range t.Splits {
 		resources = append(resources, revision.Resource{Split: &t.Splits[i]})
 	}
+	for i := range t.Evacuations {
+		resources = append(resources, revision.Resource{Evacuation: &t.Evacuations[i]})
+	}
 	return resources
 }
 
--- a/coord/ticket/ticket.go
+++ b/coord/ticket/ticket.go
@@ -21,7 +21,10 @@
 	Splits []revision.Split `json:"splits,omitempty"`
 	// Rollouts transfer traffic step by step, each with a deadline.
 	Rollouts []RolloutRequest `json:"moves,omitempty"`
-	Delete   []revision.Ref   `json:"delete,omitempty"`
+	// Evacuations order that the targets of availability zones receive no requests. Deleting one takes it
+	// back.
+	Evacuations []revision.Evacuation `json:"evacuations,omitempty"`
+	Delete      []revision.Ref        `json:"delete,omitempty"`
 }
 
 // RolloutRequest requests that the traffic of a service be moved to a version.
--- a/mesh/admin/api.go
+++ b/mesh/admin/api.go
@@ -124,6 +124,8 @@
 	Members           []MemberStatus         `json:"members"`
 	Targets           []TargetStatus         `json:"targets"`
 	Rollouts          []ticket.RolloutStatus `json:"moves"`
+	// Evacuated lists the availability zones whose targets receive no requests.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Dangling lists the dangling references and invalid values of the configuration in force.
 	Dangling []string `json:"dangling,omitempty"`
 	// LastRejection describes the last change that could not be applied.
--- a/mesh/ctl/ctl.go
+++ b/mesh/ctl/ctl.go
@@ -67,6 +67,7 @@
 	newReport,
 	newCheck,
 	newExplain,
+	newEvacuate,
 	newDemo,
 }
 
--- a/mesh/ctl/status.go
+++ b/mesh/ctl/status.go
@@ -59,6 +59,10 @@
 	t.daemons(o.Daemons)
 	t.blankLine()
 	t.targets(o.Targets)
+	if evacuated := o.evacuated(); len(evacuated) > 0 {
+		t.blankLine()
+		t.evacuated(evacuated)
+	}
 	if len(o.Rollouts) > 0 {
 		t.blankLine()
 		t.runningRollouts(o.Rollouts)
--- a/mesh/ctl/ticket_file.go
+++ b/mesh/ctl/ticket_file.go
@@ -139,6 +139,9 @@
 	for i := range t.Rollouts {
 		add(revision.Resource{Split: &revision.Split{Service: t.Rollouts[i].Service}}, "moves", i)
 	}
+	for i := range t.Evacuations {
+		add(revision.Resource{Evacuation: &t.Evacuations[i]}, "evacuations", i)
+	}
 	for i := range t.Splits {
 		add(revision.Resource{Split: &t.Splits[i]}, "splits", i)
 	}
--- a/mesh/daemon/daemon.go
+++ b/mesh/daemon/daemon.go
@@ -166,7 +166,9 @@
 		self := distribution.Identity{Host: identity.Host, Zone: identity.Zone}
 		return distribution.New(self, log, pool, members, rejections, logger.Named("distribution"))
 	},
-	func(identity peer.Identity, backing store.Store, log *revision.Log, distributor *distribution.Distributor, logger *zap.Logger) *registrar.Registrar {
-		return registrar.New(identity.Host, backing, log, distributor, logger.Named("registrar"))
+	func(identity peer.Identity, backing store.Store, log *revision.Log, distributor *distribution.Distributor, members *membership.Membership, logger *zap.Logger) *registrar.Registrar {
+		r := registrar.New(identity.Host, backing, log, distributor, logger.Named("registrar"))
+		r.SetZones(func() []string { return knownZones(identity.Zone, members.Members()) })
+		return r
 	},
 ))
--- a/mesh/daemon/status.go
+++ b/mesh/daemon/status.go
@@ -99,6 +99,7 @@
 	if snapshot := p.configuration.Snapshot(); snapshot != nil {
 		status.Applied = snapshot.Revision()
 		status.Rollouts = runningRollouts(snapshot)
+		status.Evacuated = snapshot.EvacuatedZones()
 		for _, problem := range snapshot.Check() {
 			status.Dangling = append(status.Dangling, problem.Error())
 		}
--- a/mesh/registrar/registrar.go
+++ b/mesh/registrar/registrar.go
@@ -45,13 +45,18 @@
 	distributor Distributor
 	logger      *zap.Logger
 	now         func() time.Time
+	zones       func() []string
 }
 
 // New returns a registrar for the daemon on the host. The IDs of its changes start with the host.
 func New(host string, backing store.Store, log *revision.Log, distributor Distributor, logger *zap.Logger) *Registrar {
-	return &Registrar{host: host, backing: backing, log: log, distributor: distributor, logger: logger, now: time.Now}
+	return &Registrar{host: host, backing: backing, log: log, distributor: distributor, logger: logger, now: time.Now, zones: func() []string { return nil }}
 }
 
+// SetZones sets the function that returns the known availability zones, others than which no ticket may
+// evacuate. It must be called before Submit.
+func (r *Registrar) SetZones(zones func() []string) { r.zones = zones }
+
 // TicketKey returns the row key of a ticket. Keys sort by ticket number.
 func TicketKey(number uint64) string { return fmt.Sprintf("%s%020d", ticketPrefix, number) }
 
--- a/mesh/registrar/submission.go
+++ b/mesh/registrar/submission.go
@@ -73,6 +73,9 @@
 	if err != nil {
 		return revision.Draft{}, err
 	}
+	if problems := s.ticket.CheckZones(state, s.registrar.zones()); len(problems) > 0 {
+		return revision.Draft{}, &ticket.RefusedError{Number: s.ticket.Number, Reasons: problems}
+	}
 	s.status = ticket.Status{
 		Number:   s.ticket.Number,
 		Hash:     s.hash,
