--- a/integration/cluster/platform.go
+++ b/integration/cluster/platform.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// RemoveOperatorRow removes a row of the operator's table.
+func (c *Cluster) RemoveOperatorRow(key string) {
+	c.t.Helper()
+	tx := wire.Transaction{Removals: []wire.Removal{{Table: wire.TableOperator, Key: key}}}
+	if err := c.doJSON("POST", "http://"+c.platformAddress()+platformserver.PathOperator, tx, nil); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
 // RolloutState returns the status of a service's rollout from the row that the operator reads.
 func (c *Cluster) RolloutState(service string) (wire.RolloutStatus, error) {
 	var row wire.Row
--- a/mesh/exit/evacuation.go
+++ b/mesh/exit/evacuation.go
@@ -34,9 +34,9 @@
 	}
 	e.mu.Unlock()
 	if evacuated {
-		e.log.Warn("zone evacuated: targets of this host receive no requests", zap.String("zone", e.self.Zone), zap.Int("refused", refused))
+		e.log.Warn("zone evacuated: targets of this host receive no requests", zap.Int("refused", refused))
 	} else {
-		e.log.Info("evacuation of the zone ended", zap.String("zone", e.self.Zone))
+		e.log.Info("evacuation of the zone ended")
 	}
 	e.notifyChange()
 }
--- a/mesh/standin/platformserver/server.go
+++ b/mesh/standin/platformserver/server.go
@@ -95,7 +95,8 @@
 		writeError(c, http.StatusBadRequest, err.Error())
 		return
 	}
-	c.JSON(http.StatusOK, wire.Committed{Version: s.Write(transaction.Puts...), NowMs: s.tables.nowMs()})
+	version, _, _ := s.tables.commit(wire.Transaction{Puts: transaction.Puts, Removals: transaction.Removals})
+	c.JSON(http.StatusOK, wire.Committed{Version: version, NowMs: s.tables.nowMs()})
 }
 
 func (s *Server) getRow(c *gin.Context) {
