--- a/mesh/source/evacuations_test.go
+++ b/mesh/source/evacuations_test.go
@@ -1,6 +1,7 @@
 package source
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -8,7 +9,9 @@
 
 	"github.com/matryer/is"
 
+	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/store"
+	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
 // evacuationStep is one event at a daemon, and the zones that are evacuated behind it.
@@ -190,3 +193,36 @@
 		_ = to.merge(rows, now)
 	}
 }
+
+// Guards against a daemon that read the store after an order was removed, and then takes the revision of the removal
+// for a newer one that it lacks: it would read all rows again and again, and never report the revision.
+func TestRemovalIsLearnedWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	z := &zone{t: t, sources: make(map[string]*Source), links: make(map[string]*link), silent: make(map[string]bool)}
+	r := newFakeStore()
+	here, there := z.add("host-0", r), z.add("host-1", r)
+	here.stopped, here.stop = context.WithCancel(t.Context()) // nothing is followed
+	t.Cleanup(here.Stop)
+	present := []Configuration{configuration(4, 5, "/a/")}
+	there.applyOperator(OperatorChanges{Configurations: present, Evacuations: []EvacuationRow{written("a", 10)}, Through: 10, Complete: true})
+	is.Equal(there.Snapshot().EvacuatedZones(), []string{"a"})
+	there.applyOperator(OperatorChanges{Evacuations: []EvacuationRow{removed("a", 20)}, Through: 20})
+	is.Equal(there.Snapshot().EvacuatedZones(), nil)
+	here.applyOperator(OperatorChanges{Configurations: present, Through: 30, Complete: true})
+	here.followsStore.Store(true)
+	is.True(!here.hasApplied(there.applied.Load().revisions))
+	here.ObserveRevision(gossip.RevisionReport{Revisions: there.applied.Load().revisions, Host: "host-1"})
+	eventually(t, "the revision of the removal", func() bool { return here.hasApplied(there.applied.Load().revisions) })
+	is.Equal(here.Snapshot().EvacuatedZones(), nil)
+	is.Equal(len(here.reread), 0)
+}
+
+// Guards against a zone reader that sends the evacuations without end to a follower of a release that knows none,
+// and so never lets its queries wait.
+func TestFollowerOfAnOlderReleaseGetsNoEvacuations(t *testing.T) {
+	is := is.New(t)
+	state := newRowStates(1)[0]
+	state.evacuations.addRead([]EvacuationRow{written("a", 3)}, 4, time.Unix(1000, 0))
+	rows := state.newerThan(new(peerpb.RowsQuery))
+	is.True(rows.empty())
+}
--- a/mesh/standin/workerserver/health.go
+++ b/mesh/standin/workerserver/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"sassafrasnotch.example/platform/wire"
 )
@@ -19,8 +20,9 @@
 	defer w.releaseSlot()
 	writer.Header().Set(wire.HeaderInstanceID, w.config.ID)
 	w.mu.Lock()
-	left := w.left
+	left, cold := w.left, w.coldRemaining()
 	w.mu.Unlock()
+	writer.Header().Set(wire.HeaderColdStart, strconv.FormatInt(cold.Milliseconds(), 10))
 	if left {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
--- a/mesh/standin/workerserver/worker.go
+++ b/mesh/standin/workerserver/worker.go
@@ -45,6 +45,8 @@
 	WorkDuration time.Duration
 	// AlwaysFail makes the worker respond to every request with its own status 500.
 	AlwaysFail bool
+	// ColdDuration is the time for which the worker is cold after its start.
+	ColdDuration time.Duration
 	// HeartbeatInterval is the time between heartbeats.
 	HeartbeatInterval time.Duration
 }
@@ -78,6 +80,7 @@
 	executions  []ExecutionRecord
 	outstanding int
 	left        bool // Drain or Deregister was called
+	coldUntil   time.Time
 	// leavingAcknowledgedAt is when the daemon acknowledged that the worker leaves.
 	leavingAcknowledgedAt time.Time
 }
@@ -98,6 +101,7 @@
 		cancel:    cancel,
 		state:     wire.StateReady,
 	}
+	w.coldUntil = w.startedAt.Add(config.ColdDuration)
 	w.server = &http.Server{Handler: http.HandlerFunc(w.serve)}
 	go func() { _ = w.server.Serve(listener) }()
 	w.heartbeats.Go(func() { w.sendHeartbeats(ctx) })
@@ -211,10 +215,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sequence++
+	cold := w.coldRemaining().Milliseconds()
 	return json.Marshal(wire.Heartbeat{
 		Service: w.config.Service, Address: w.listener.Addr().String(), Zone: w.config.Zone,
 		Version: w.config.Version, Slots: w.config.Slots, State: w.state,
-		Sequence: &w.sequence, BornMs: w.startedAt.UnixMilli(),
+		Sequence: &w.sequence, BornMs: w.startedAt.UnixMilli(), ColdRemainingMs: &cold,
 	})
 }
 
