--- a/mesh/daemon/metrics.go
+++ b/mesh/daemon/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"time"
 
@@ -94,7 +95,7 @@
 	_, err := meter.RegisterCallback(g.observe, g.configurationAge, g.confirmedAge, g.remainingRetries, g.queued, g.storeFailures, g.appliedRevision, g.latestRevision, g.storeReachable, g.members, g.targets, g.targetRate,
 		g.outstanding, g.controlledRollouts, g.callerConnections, g.controlBytes, g.storeRequests, g.droppedLines, g.acceptFailures, g.departedRequests,
 		g.descriptorLimit, g.descriptorsHeld, g.descriptorsRefused)
-	return err
+	return errors.Join(err, registerEvacuationMetrics(meter, p.exit))
 }
 
 // observe records the current value of every metric. It reads the status once.
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -90,6 +90,7 @@
 	case e.leaving:
 		return &refusal{reason: peerpb.RefusalReason_REFUSAL_REASON_LEAVING, detail: "the host is leaving"}
 	case e.evacuated:
+		e.evacuationRefusals++
 		return evacuatedRefusal()
 	case c.fingerprint != 0 && e.crashes.isQuarantined(c.fingerprint, now):
 		return &refusal{
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -198,11 +198,7 @@
 	a.Leaving = false
 	t := newTarget(a, config, e.targetConns, now)
 	t.coldUntil = now.Add(a.ColdRemaining.Std())
-	if _, doubted := e.doubted[a.Instance]; doubted {
-		// The heartbeat may have been sent before the target ended.
-		t.cold.assumed, t.cold.ignore = true, 1
-		delete(e.doubted, a.Instance)
-	}
+	e.applyDoubt(t)
 	e.targets[a.Instance] = t
 	e.versions[t.key] = append(e.versions[t.key], t)
 	e.log.Info("target announced", zap.String("instance", a.Instance),
@@ -226,30 +222,6 @@
 	e.log.Info("target removed", zap.String("instance", t.Instance))
 }
 
-// withdrawal records the withdrawal of an incarnation of a target.
-type withdrawal struct {
-	incarnation uint64
-	at          time.Time
-}
-
-// Withdraw removes a target. For withdrawalRetention, announcements of its incarnation or an
-// earlier one are stale. Incarnations derive from start times in Unix milliseconds: if the target
-// is unknown, announcements of incarnations up to the present time are stale.
-func (e *Exit) Withdraw(instance string) {
-	now := time.Now()
-	e.mu.Lock()
-	withdrawn := withdrawal{at: now, incarnation: uint64(now.UnixMilli())}
-	if t := e.targets[instance]; t != nil {
-		withdrawn.incarnation = t.Incarnation
-		e.removeTarget(t)
-	}
-	e.withdrawals[instance] = withdrawn
-	e.recordDeparture(instance, withdrawn.incarnation, now)
-	e.mu.Unlock()
-	e.notifyDeparture()
-	e.notifyChange()
-}
-
 // Tick removes targets whose announcement has expired, admits queued requests to slots that opened
 // since the previous call, and discards expired idle connections, suspect requests and withdrawals.
 // It is to be called several times a second.
@@ -270,11 +242,7 @@
 			delete(e.withdrawals, instance)
 		}
 	}
-	for instance, at := range e.doubted {
-		if now.Sub(at) > withdrawalRetention {
-			delete(e.doubted, instance)
-		}
-	}
+	e.expireDoubts(now)
 	e.departures.Expire(now)
 	e.tickHeld(now)
 	e.mu.Unlock()
--- a/mesh/exit/cold.go
+++ b/mesh/exit/cold.go
@@ -107,6 +107,23 @@
 	e.updateCold(t, now)
 }
 
+// applyDoubt takes a target for cold whose instance was removed without its own word. The heartbeat that announces it
+// may have been sent before it ended, so that only a later one ends that.
+func (e *Exit) applyDoubt(t *target) {
+	if _, doubted := e.doubted[t.Instance]; doubted {
+		t.cold.assumed, t.cold.ignore = true, 1
+		delete(e.doubted, t.Instance)
+	}
+}
+
+func (e *Exit) expireDoubts(now time.Time) {
+	for instance, at := range e.doubted {
+		if now.Sub(at) > withdrawalRetention {
+			delete(e.doubted, instance)
+		}
+	}
+}
+
 // updateCold holds a target to the rate of its service while it is cold. The caller holds e.mu.
 func (e *Exit) updateCold(t *target, now time.Time) {
 	policy := e.coldPolicyOf(t)
--- a/mesh/exit/evacuation.go
+++ b/mesh/exit/evacuation.go
@@ -32,6 +32,7 @@
 			e.assumeCold(t, "evacuation ended", now)
 		}
 	}
+	e.evacuationRefusals += uint64(refused)
 	e.mu.Unlock()
 	if evacuated {
 		e.log.Warn("zone evacuated: targets of this host receive no requests", zap.Int("refused", refused))
@@ -48,6 +49,13 @@
 	return e.evacuated
 }
 
+// EvacuationRefusals returns the number of requests that were refused because of an evacuation.
+func (e *Exit) EvacuationRefusals() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.evacuationRefusals
+}
+
 // evacuatedRefusal states that the zone is evacuated. It is a refusal by admission control, which costs the
 // retry budget of the entry nothing: all hosts of a zone refuse at the same time.
 func evacuatedRefusal() *refusal {
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -56,6 +56,8 @@
 	leaving     bool
 	evacuated   bool // see SetEvacuated
 	coldPeriods uint64
+	// evacuationRefusals is the number of requests refused because of an evacuation.
+	evacuationRefusals uint64
 	// doubted holds the instances that were removed without their own word, and may have restarted, with
 	// the time.
 	doubted         map[string]time.Time
