Search anew for a request that leaves the queue of an evacuated host

Cause: a request asks at most two hosts for a place in the queue. Where both were evacuated, it ended with 503 although another zone had room.

Change: a request that an evacuation sends out of a queue begins its search again, at most three times; it has reached no target. Without a start time, a target that does not state its cold time is cold from its first announcement on, and lost connections are looked at only where the service has ColdPerS.

--- a/mesh/entry/evacuation.go
+++ b/mesh/entry/evacuation.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"sassafrasnotch.example/coord/balance"
 	"sassafrasnotch.example/coord/gossip"
 )
 
@@ -10,6 +11,20 @@
 // before any other choice is made, so that a request that finds no room elsewhere is not sent there either.
 func (e *Entry) SetEvacuated(zones []string) { e.routing.setEvacuated(zones) }
 
+// maxEvacuations bounds how often a request begins its search again because the zone of the host that had queued it is
+// evacuated.
+const maxEvacuations = 3
+
+// leftEvacuation reports whether a refusal ended the wait in the queue of a host whose zone is evacuated. The search
+// for a host begins again then, since it ended with that queue.
+func (c *callerRequest) leftEvacuation(failed *failure, offer balance.Offer) bool {
+	if failed.reason != ReasonLeaving || offer.Bounded || c.evacuations >= maxEvacuations {
+		return false
+	}
+	c.evacuations++
+	return true
+}
+
 func (r *routing) setEvacuated(zones []string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -46,6 +46,7 @@
 	crashes    int
 	// attemptsWithoutTarget counts the attempts that a host refused because it had no target.
 	attemptsWithoutTarget int
+	evacuations           int           // see leftEvacuation
 	claim                 *requestClaim // nil unless the route is keyed
 
 	triedHostsArray [retry.MaxAttempts]string
@@ -97,6 +98,10 @@
 		}
 		worst = worseFailure(worst, failed)
 		if failed.byAdmission && !c.uploading && !c.cancelled() {
+			if c.leftEvacuation(failed, offer) {
+				choice = c.retryChoice(choice)
+				search = balance.NewSearch(choice.Group, c.route.Objective.Std())
+			}
 			continue // it cost no target anything
 		}
 		c.triedHosts = append(c.triedHosts, offer.Endpoint.Host)
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -198,7 +198,7 @@
 	a.Leaving = false
 	t := newTarget(a, config, e.targetConns, now)
 	t.coldUntil = now.Add(a.ColdRemaining.Std())
-	e.applyDoubt(t)
+	e.applyDoubt(t, now)
 	e.targets[a.Instance] = t
 	e.versions[t.key] = append(e.versions[t.key], t)
 	e.log.Info("target announced", zap.String("instance", a.Instance),
--- a/mesh/exit/cold.go
+++ b/mesh/exit/cold.go
@@ -43,6 +43,7 @@
 
 // coldState is what is known of whether a target is cold. The zero value stands for a warm target.
 type coldState struct {
+	addedAt time.Time // when the target was first announced to this process
 	// heardAt is when the latest heartbeat or health response came.
 	heardAt time.Time
 	// announcedUntil is the end of the cold period by the latest heartbeat, respondedUntil by the responses.
@@ -77,8 +78,11 @@
 func (e *Exit) observeAnnouncement(t *target, a admin.Announcement, now time.Time) {
 	t.cold.heardAt = now
 	t.cold.announcedUntil = now.Add(a.ColdRemaining.Std())
-	if a.ColdUnstated && a.Incarnation > 1 {
-		born := time.UnixMilli(int64(a.Incarnation - 1))
+	if a.ColdUnstated {
+		born := t.cold.addedAt
+		if a.Incarnation > 1 { // the start time in milliseconds, and one
+			born = time.UnixMilli(int64(a.Incarnation - 1))
+		}
 		t.cold.announcedUntil = born.Add(e.coldPolicy(t.Service).Duration)
 	}
 	if t.cold.ignore > 0 {
@@ -109,7 +113,8 @@
 
 // applyDoubt takes a target for cold whose instance was removed without its own word. The heartbeat that announces it
 // may have been sent before it ended, so that only a later one ends that.
-func (e *Exit) applyDoubt(t *target) {
+func (e *Exit) applyDoubt(t *target, now time.Time) {
+	t.cold.addedAt = now
 	if _, doubted := e.doubted[t.Instance]; doubted {
 		t.cold.assumed, t.cold.ignore = true, 1
 		delete(e.doubted, t.Instance)
@@ -220,6 +225,9 @@
 // observeLoss records that a connection was lost before the response of its request. A restart shows in several
 // at once, or in the idle ones; the next process is cold, and no heartbeat of it may have come yet.
 func (e *Exit) observeLoss(t *target) {
+	if e.coldPolicy(t.Service).Rate == 0 {
+		return
+	}
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
