--- a/coord/revision/tenant.go
+++ b/coord/revision/tenant.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -138,6 +139,18 @@
 	}
 }
 
+// EvacuatedZones returns the availability zones whose targets are to receive no requests, sorted.
+func (s *Snapshot) EvacuatedZones() []string {
+	var zones []string
+	for ref := range s.entries {
+		if ref.Kind == KindEvacuation {
+			zones = append(zones, ref.Name)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 // Evacuated reports whether the targets of the availability zone are to receive no requests.
 func (s *Snapshot) Evacuated(zone string) bool {
 	_, ok := s.entries[Ref{KindEvacuation, zone}]
--- a/mesh/admin/api.go
+++ b/mesh/admin/api.go
@@ -45,6 +45,9 @@
 	// ColdRemaining is the remaining time for which the target is slow after its start. It applies
 	// if Incarnation is set; other targets warm up according to the settings.
 	ColdRemaining revision.Duration `json:"cold,omitempty"`
+	// ColdUnstated is set by a target that does not state ColdRemaining. It is then cold for the time after
+	// its start that its service has.
+	ColdUnstated bool `json:"coldUnstated,omitempty"`
 }
 
 // AnnouncementResponse holds the time for which an announcement is valid, formatted as a
@@ -121,6 +124,8 @@
 	Members           []MemberStatus         `json:"members"`
 	Targets           []TargetStatus         `json:"targets"`
 	Rollouts          []ticket.RolloutStatus `json:"moves"`
+	// Evacuated lists the availability zones whose targets receive no requests.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Dangling lists the dangling references and invalid values of the configuration in force.
 	Dangling []string `json:"dangling,omitempty"`
 	// LastRejection describes the last change that could not be applied.
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -47,6 +47,7 @@
 	crashes    int
 	// attemptsWithoutTarget counts the attempts that a host refused because it had no target.
 	attemptsWithoutTarget int
+	evacuations           int           // see leftEvacuation
 	claim                 *requestClaim // nil unless the route is keyed
 
 	triedHostsArray [retry.MaxAttempts]string
@@ -80,9 +81,9 @@
 		return refused(ReasonNoTarget, stepBalance, "service "+c.service+" has no split")
 	}
 	plan.budget.Deposit()
-	choice := plan.Choose(c.entry.deps.Random)
+	choice := c.withinRegions(plan.Choose(c.entry.deps.Random))
 	if choice == nil {
-		return refused(ReasonNoTarget, stepBalance, "no target of service "+c.service+" is known")
+		return c.noTarget()
 	}
 	c.triedHosts = c.triedHostsArray[:0]
 	search := balance.NewSearch(choice.Group, c.route.Objective.Std())
@@ -98,6 +99,10 @@
 		}
 		worst = worseFailure(worst, failed)
 		if failed.byAdmission && !c.uploading && !c.cancelled() {
+			if c.leftEvacuation(failed, offer) {
+				choice = c.retryChoice(choice)
+				search = balance.NewSearch(choice.Group, c.route.Objective.Std())
+			}
 			continue // it cost no target anything
 		}
 		c.triedHosts = append(c.triedHosts, offer.Endpoint.Host)
@@ -114,7 +119,7 @@
 // targets known now, which may differ from those of the attempt before.
 func (c *callerRequest) retryChoice(last *balance.Choice) *balance.Choice {
 	if plan := c.entry.routing.plan(c.snapshot, c.service); plan != nil {
-		if present := plan.Choose(c.entry.deps.Random); present != nil {
+		if present := c.withinRegions(plan.Choose(c.entry.deps.Random)); present != nil {
 			last = present
 		}
 	}
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -86,9 +86,10 @@
 	t.Slots = a.Slots
 	t.Sequence = a.Sequence
 	t.admission.SetSlots(a.Slots)
-	if t.namedRate == nil {
+	if t.namedRate == nil && t.admission.ColdRate() == 0 {
 		t.reportedSlots = a.Slots
 	}
+	e.observeAnnouncement(t, a, now)
 	if a.Leaving {
 		e.recordDeparture(a.Instance, a.Incarnation, now)
 	}
@@ -197,6 +198,7 @@
 	a.Leaving = false
 	t := newTarget(a, config, e.targetConns, now)
 	t.coldUntil = now.Add(a.ColdRemaining.Std())
+	e.applyDoubt(t, now)
 	e.targets[a.Instance] = t
 	e.versions[t.key] = append(e.versions[t.key], t)
 	e.log.Info("target announced", zap.String("instance", a.Instance),
@@ -220,30 +222,6 @@
 	e.log.Info("target removed", zap.String("instance", t.Instance))
 }
 
-// withdrawal records the withdrawal of an incarnation of a target.
-type withdrawal struct {
-	incarnation uint64
-	at          time.Time
-}
-
-// Withdraw removes a target. For withdrawalRetention, announcements of its incarnation or an
-// earlier one are stale. Incarnations derive from start times in Unix milliseconds: if the target
-// is unknown, announcements of incarnations up to the present time are stale.
-func (e *Exit) Withdraw(instance string) {
-	now := time.Now()
-	e.mu.Lock()
-	withdrawn := withdrawal{at: now, incarnation: uint64(now.UnixMilli())}
-	if t := e.targets[instance]; t != nil {
-		withdrawn.incarnation = t.Incarnation
-		e.removeTarget(t)
-	}
-	e.withdrawals[instance] = withdrawn
-	e.recordDeparture(instance, withdrawn.incarnation, now)
-	e.mu.Unlock()
-	e.notifyDeparture()
-	e.notifyChange()
-}
-
 // Tick removes targets whose announcement has expired, admits queued requests to slots that opened
 // since the previous call, and discards expired idle connections, suspect requests and withdrawals.
 // It is to be called several times a second.
@@ -254,6 +232,7 @@
 			e.removeTarget(t)
 			continue
 		}
+		e.tickCold(t, now)
 		e.deliver(t, t.admission.Tick(now), now)
 		t.conns.expire(now)
 	}
@@ -263,6 +242,7 @@
 			delete(e.withdrawals, instance)
 		}
 	}
+	e.expireDoubts(now)
 	e.departures.Expire(now)
 	e.tickHeld(now)
 	e.mu.Unlock()
