Reload strict keys, and keep requests without a key out of the burn of services

Cause: strict keys are turned off while the store is out, which is when a daemon should not be restarted. And anyone can send requests without a key: they counted as failures of the service that they named.

Change: configuration.strictKeys and keysValidWithin hold without a restart. A request refused as unauthorized is not counted by the report.

--- a/mesh/daemon/reload.go
+++ b/mesh/daemon/reload.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -14,21 +15,23 @@
 
 // reloadableSettings lists the settings that can change while the daemon runs. A name that ends
 // with a dot stands for the whole section.
-var reloadableSettings = []string{"service", "entry.retry.", "entry.lameDuck", "exit.announceTTL", "exit.target", "exit.queueLength", "log."}
+var reloadableSettings = []string{"service", "configuration.strictKeys", "configuration.keysValidWithin", "entry.retry.", "entry.lameDuck", "exit.announceTTL", "exit.target", "exit.queueLength", "log."}
 
 // Reloader applies changed settings while the daemon runs. It is safe for concurrent use.
 type Reloader struct {
 	mu      sync.Mutex
 	current settings.Settings
-	level   zap.AtomicLevel
-	entry   *entry.Entry
-	server  *entry.Server
-	exit    *exit.Exit
-	logger  *zap.Logger
+	// applyWithin is configuration.applyWithin at the start, which needs a restart to change.
+	applyWithin time.Duration
+	level       zap.AtomicLevel
+	entry       *entry.Entry
+	server      *entry.Server
+	exit        *exit.Exit
+	logger      *zap.Logger
 }
 
 func newReloader(s settings.Settings, level zap.AtomicLevel, e *entry.Entry, server *entry.Server, x *exit.Exit, logger *zap.Logger) *Reloader {
-	return &Reloader{current: s, level: level, entry: e, server: server, exit: x, logger: logger.Named("settings")}
+	return &Reloader{current: s, applyWithin: s.Configuration.ApplyWithin.Std(), level: level, entry: e, server: server, exit: x, logger: logger.Named("settings")}
 }
 
 // Apply applies the changed settings that need no restart and logs those that do. The settings must
@@ -45,6 +48,9 @@
 		r.logger.Error("log level not changed", zap.Error(err))
 	}
 	r.entry.Configure(next.Service, next.Entry.Retry)
+	rules := keyRules(&next.Configuration)
+	rules.ApplyWithin = r.applyWithin
+	r.entry.SetKeyRules(rules)
 	r.server.SetLameDuckPeriod(next.Entry.LameDuck.Std())
 	r.exit.Configure(next.Exit)
 	r.current = next
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -107,6 +107,7 @@
 	lastAttemptID atomic.Uint64
 	leaving       atomic.Bool
 	service       atomic.Pointer[string] // of this host
+	keyRules      atomic.Pointer[apikey.Rules]
 	// serving is the number of callers' connections on which a request is served.
 	serving atomic.Int64
 	// keepAlivesDisabled is set from the start of a stop, while new requests are still served.
@@ -138,6 +139,7 @@
 		startedAt: time.Now(),
 	}
 	entry.service.Store(&deps.Service)
+	entry.SetKeyRules(deps.KeyRules)
 	// A random start keeps the attempt ids of a restarted daemon apart from those of its
 	// previous run.
 	entry.lastAttemptID.Store(rand.Uint64())
--- a/mesh/entry/tenant.go
+++ b/mesh/entry/tenant.go
@@ -30,7 +30,7 @@
 			credentials, c.tenant = apikey.Known, tenant
 		}
 	}
-	rules, required := c.entry.deps.KeyRules, c.snapshot.RequiresKey(c.route)
+	rules, required := *c.entry.keyRules.Load(), c.snapshot.RequiresKey(c.route)
 	var copied apikey.Copy
 	if required && (credentials == apikey.Unknown || rules.Strict) {
 		copied = c.configurationCopy()
@@ -102,3 +102,6 @@
 	}
 	return zap.String("tenant", c.tenant.Name)
 }
+
+// SetKeyRules replaces Deps.KeyRules.
+func (e *Entry) SetKeyRules(rules apikey.Rules) { e.keyRules.Store(&rules) }
--- a/mesh/entry/tenant_test.go
+++ b/mesh/entry/tenant_test.go
@@ -217,7 +217,8 @@
 			is := is.New(t)
 			f := newTenantFixture(t, nil)
 			f.entry.deps.Conventions = &Conventions{RequestIDHeader: HeaderRequestID, DeadlineHeader: HeaderDeadline, FractionalRetryAfter: true}
-			f.entry.deps.ConfigurationCopy, f.entry.deps.KeyRules = &c.copied, c.rules
+			f.entry.deps.ConfigurationCopy = &c.copied
+			f.entry.SetKeyRules(c.rules)
 			response := f.serveRecorded(withAuthorization(c.path, c.credentials))
 			is.Equal(response.Code, c.status)
 			is.Equal(f.hosts.dispatched() == 1, c.status == 200)
--- a/mesh/report/recorder.go
+++ b/mesh/report/recorder.go
@@ -92,10 +92,11 @@
 }
 
 // ObserveRequest implements entry.RequestObserver. A request whose caller disconnected before the
-// latency bound is not counted, because it shows neither success nor failure.
+// latency bound is not counted, because it shows neither success nor failure. Nor is one without a valid API
+// key: anyone can send those, and the service has no part in them.
 func (r *Recorder) ObserveRequest(result entry.Result) {
 	late := r.exceedsLatencyBound(result)
-	if result.CallerDisconnected && !late {
+	if result.CallerDisconnected && !late || result.Reason == entry.ReasonUnauthorized {
 		return
 	}
 	found, ok := r.counters.Load(result.Service)
--- a/mesh/report/report_test.go
+++ b/mesh/report/report_test.go
@@ -42,6 +42,7 @@
 		{"late", entry.Result{Outcome: retry.Responded, Status: 200, Duration: 2 * time.Second}, 1, 1},
 		{"truncated", entry.Result{Outcome: retry.Responded, Status: 200, Truncated: true}, 1, 1},
 		{"refused", entry.Result{Outcome: retry.Refused, Status: 503}, 1, 1},
+		{"unauthorized", entry.Result{Outcome: retry.Refused, Reason: entry.ReasonUnauthorized, Status: 401}, 0, 0},
 		{"unknown", entry.Result{Outcome: retry.Unknown, Status: 502}, 1, 1},
 		{"caller disconnected", entry.Result{CallerDisconnected: true}, 0, 0},
 		{"caller disconnected after the bound", entry.Result{CallerDisconnected: true, Duration: 2 * time.Second}, 1, 1},
