Name the tenant where a field has another type

Cause: an infinite rate is a number that JSON can state and Go can't hold. The text of its rejection named the field, and not the tenant, of which there may be hundreds.

Texts name the tenant as those of routes name the route, with its position.

--- a/mesh/ctl/ctl_test.go
+++ b/mesh/ctl/ctl_test.go
@@ -308,7 +308,7 @@
 		{"configuration with tenants", "auto", strings.Replace(configuration, `"Services"`, `"Tenants":[{"Name":"a","ApiKeys":["sesame"]}],"Services"`, 1), ExitSuccess,
 			"valid configuration"},
 		{"configuration with a repeated key", "auto", strings.Replace(configuration, `"Services"`, `"Tenants":[{"Name":"a","ApiKeys":["sesame","sesame"]}],"Services"`, 1), ExitBadInput,
-			`Tenants[0] "a": ApiKeys[1] is listed twice`},
+			`tenant "a" (Tenants[0]): ApiKeys[1] is listed twice`},
 		{"overdue", "auto", strings.Replace(goodTicket, "2030", "2020", 1), ExitBadInput, "-:6: moves[0].by: the deadline 2020-01-01T00:00:00Z has passed"},
 	}
 	for _, c := range cases {
