Ask a silent target for its health at once

Cause: a target was assumed to be cold after 4 s without a heartbeat, and was asked for its health only when a token was left, which under load is seldom.

Change: 2.5 s, after which the health response mostly ends the assumption at once; the question takes the place of a later request.

--- a/mesh/exit/cold.go
+++ b/mesh/exit/cold.go
@@ -12,8 +12,9 @@
 
 const (
 	// coldSilence is the time without a heartbeat or health response after which a target is assumed to be
-	// cold: two heartbeats of a usual interval of 1.5 s that are lost, and a second of delay.
-	coldSilence = 4 * time.Second
+	// cold: a usual interval of 1.5 s between heartbeats, and a second of delay. Where the target has a health
+	// path, the assumption mostly ends at once.
+	coldSilence = 2500 * time.Millisecond
 	// coldCheckInterval is the time between two health checks of a target that is only assumed to be cold.
 	coldCheckInterval = time.Second
 	// restartSpan is the time within which the connections of a process that ends are lost.
@@ -171,7 +172,7 @@
 		return
 	}
 	path := e.healthPath(t.Service)
-	if path == "" || e.conventions.HealthInstance == "" || e.conventions.ColdRemaining == "" || !t.admission.MayRepeat(now) {
+	if path == "" || e.conventions.HealthInstance == "" || e.conventions.ColdRemaining == "" || !t.admission.MayProbe(now) {
 		return
 	}
 	t.cold.checkedAt = now
--- a/mesh/exit/cold_test.go
+++ b/mesh/exit/cold_test.go
@@ -148,3 +148,46 @@
 	is.Equal(cold, 0)
 	is.True(fx.flood(300*time.Millisecond) > coldLimit)
 }
+
+// Guards against a target whose heartbeats are lost and that stays held to the rate though its health response states
+// that it is warm, also under load that takes each token.
+func TestAssumedColdEndsWithAHealthResponse(t *testing.T) {
+	is := is.New(t)
+	conventions := exit.DefaultConventions
+	conventions.ColdRemaining, conventions.HealthInstance = "X-Cold", "X-Instance"
+	fx := newFixtureOf(t, []exit.Option{
+		exit.WithColdPolicy(func(string) exit.ColdPolicy { return exit.ColdPolicy{Rate: coldRate, Known: true} }),
+		exit.WithConventions(conventions), exit.WithHealthCheck(func(string) string { return "/health" }),
+	}, func(s *settings.Settings) { s.Exit.AnnounceTTL = revision.Duration(time.Minute) })
+	var stated atomic.Value
+	stated.Store("60000")
+	fx.target(12, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			w.Header().Set("X-Instance", "t1")
+			w.Header().Set("X-Cold", stated.Load().(string))
+		}
+	})
+	assume := func() {
+		fx.exit.SetEvacuated(true)
+		fx.exit.SetEvacuated(false)
+	}
+	held := func() int {
+		fx.exit.Tick(time.Now())
+		cold, _ := fx.exit.ColdTargets()
+		return cold
+	}
+	assume()
+	for range 20 {
+		is.Equal(held(), 1) // it is cold by its own word
+		time.Sleep(5 * time.Millisecond)
+	}
+	fx.exit.Withdraw("t1")
+	stated.Store("0")
+	is.NoErr(fx.exit.Announce(fx.announced))
+	assume()
+	for deadline := time.Now().Add(waitLimit); held() != 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the target stays held to the rate")
+		}
+	}
+}
