Let no rollout rely on hosts of an evacuated zone

Cause: the controller counts ready hosts of the new version as able to carry all requests, those of an evacuated zone, which carry none, included.

--- a/mesh/controller/controller.go
+++ b/mesh/controller/controller.go
@@ -87,7 +87,10 @@
 	// KeepFinished keeps the row of a rollout after its end, for a configuration source that
 	// derives the split from the row.
 	KeepFinished bool
-	Logger       *zap.Logger
+	// Evacuated reports whether the targets of an availability zone receive no requests; nil means that none
+	// are evacuated.
+	Evacuated func(zone string) bool
+	Logger    *zap.Logger
 }
 
 // Controller runs the rollouts whose leases this host holds. All methods are safe for concurrent
--- a/mesh/controller/evidence.go
+++ b/mesh/controller/evidence.go
@@ -110,7 +110,7 @@
 
 // current returns the evidence for a decision at now.
 func (e *evidence) current(now time.Time) rollout.Evidence {
-	members := e.controller.config.Members.Members()
+	members := e.controller.config.serving()
 	var hosts rollout.Hosts
 	hosts.From, hosts.FromSlots = readyHosts(members, func(t gossip.Target) bool { return t.Service == e.rollout.Service && e.isOldVersion(t.Version) })
 	hosts.To, hosts.ToSlots = readyHosts(members, func(t gossip.Target) bool { return t.Service == e.rollout.Service && t.Version == e.rollout.To })
--- a/mesh/daemon/rollouts.go
+++ b/mesh/daemon/rollouts.go
@@ -32,6 +32,7 @@
 			Rollouts:    rolloutList{c},
 			Now:         time.Now,
 			TicketKey:   registrar.TicketKey,
+			Evacuated:   evacuations{c}.evacuated,
 			Logger:      logger.Named("controller"),
 		}
 		if s.Configuration.Source == settings.SourceOperator {
