Learn which requests targets make while they run others

On the platform nested requests look like those of callers, so neither the retry budget nor the queue of a target can treat them apart. The exit counts the services at whose hosts the requests of each route begin and reports a route with one origin to the hosts of that service (Load.nested_route). The entry there believes most of the reports, unless its service has more than three quarters of the hosts, and sets CallHead.nested. In our own interface a hop count above 1 is enough. Parents attributes nested requests to the routes that run at the host's targets; Load.nested_calls_permille (new, field 50) tells entries how many a run makes.

An older daemon reports neither: its reports count as not nested.

--- a/mesh/daemon/requests.go
+++ b/mesh/daemon/requests.go
@@ -11,6 +11,7 @@
 
 	"sassafrasnotch.example/coord/balance"
 	"sassafrasnotch.example/coord/descriptors"
+	"sassafrasnotch.example/coord/nested"
 	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/claim"
@@ -25,9 +26,10 @@
 )
 
 var requestsModule = fx.Module("calls", fx.Provide(
-	func(identity peer.Identity, s settings.Settings, a adapter.Adapter, c configuration, budget *descriptors.Budget, metrics *telemetry.RequestMetrics, logger *zap.Logger) *exit.Exit {
+	nested.NewParents,
+	func(identity peer.Identity, s settings.Settings, a adapter.Adapter, c configuration, budget *descriptors.Budget, parents *nested.Parents, metrics *telemetry.RequestMetrics, logger *zap.Logger) *exit.Exit {
 		options := []exit.Option{exit.WithBudget(budget), exit.WithLatencyBound(latencyBounds{c}.bound), exit.WithQueueObserver(metrics.ObserveQueueWait),
-			exit.WithRecordedDepartures(), exit.WithHealthCheck(healthPaths{c}.path)}
+			exit.WithRecordedDepartures(), exit.WithParents(parents), exit.WithHealthCheck(healthPaths{c}.path)}
 		if s.Configuration.Source == settings.SourceOperator {
 			options = append(options, exit.WithConventions(a.TargetConventions))
 		}
@@ -44,7 +46,7 @@
 		self := claim.Self{Host: identity.Host, Zone: identity.Zone}
 		return claim.NewZoned(self, members, pool, backing, logger.Named("claim"))
 	},
-	func(s settings.Settings, a adapter.Adapter, c configuration, pool *peer.Pool, claims *claim.Claimer, metrics *telemetry.RequestMetrics, logger *zap.Logger) *entry.Entry {
+	func(s settings.Settings, a adapter.Adapter, c configuration, pool *peer.Pool, claims *claim.Claimer, parents *nested.Parents, metrics *telemetry.RequestMetrics, logger *zap.Logger) *entry.Entry {
 		locality := balance.Locality{Host: s.Host, Zone: s.Zone, Region: s.Region}
 		conventions := entry.DefaultConventions
 		if s.Configuration.Source == settings.SourceOperator {
@@ -59,6 +61,7 @@
 			Configuration:   c,
 			Dialer:          dialer{pool},
 			Claims:          claims,
+			Parents:         parents,
 			AttemptObserver: metrics,
 			RequestObserver: metrics,
 			Log:             logger.Named("entry"),
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -24,6 +24,7 @@
 
 	"sassafrasnotch.example/coord/balance"
 	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/coord/nested"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 	"sassafrasnotch.example/mesh/settings"
@@ -76,6 +77,9 @@
 	// Service is the origin service: the service of this host, which targets receive as the origin
 	// of the requests that this entry sends, if Conventions.OriginHeader is set.
 	Service string
+	// Parents records the nested requests that arrive for what runs at the targets of this host; nil
+	// if nothing is recorded.
+	Parents *nested.Parents
 	// NewVersionHold is how long a version that appears at a service is pending: it receives no
 	// requests unless the configuration names it. 0 disables the hold.
 	NewVersionHold time.Duration
@@ -90,6 +94,7 @@
 	self          balance.Locality
 	deps          Deps
 	routing       *routing
+	nestedRoutes  *nested.Routes
 	startedAt     time.Time
 	lastAttemptID atomic.Uint64
 	leaving       atomic.Bool
@@ -114,6 +119,9 @@
 	if deps.Conventions == nil {
 		deps.Conventions = &DefaultConventions
 	}
+	if deps.Parents == nil {
+		deps.Parents = nested.NewParents()
+	}
 	if deps.Log == nil {
 		deps.Log = zap.NewNop()
 	}
@@ -123,6 +131,8 @@
 		deps:      deps,
 		routing:   newRouting(self, settings.Retry, deps.NewVersionHold),
 		startedAt: time.Now(),
+
+		nestedRoutes: nested.NewRoutes(),
 	}
 	entry.service.Store(&deps.Service)
 	// A random start keeps the attempt ids of a restarted daemon apart from those of its
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -107,6 +107,7 @@
 	head.ContentLength = c.httpRequest.ContentLength
 	head.Revision = c.snapshot.Revision()
 	head.Hops = c.hops
+	head.Nested = c.nested
 	head.InlineBody = c.inlineBody
 	head.Complete = c.bodyComplete
 	if e.offer.Bounded {
@@ -242,6 +243,8 @@
 		report.ServiceTime = times.Add(balance.Class{Service: e.request.service}, service)
 	}
 	e.endpoint.Observe(report, now)
+	calls := float64(load.GetNestedCallsPermille()) / 1000
+	e.request.entry.nestedRoutes.Observe(e.request.route.Name, load.GetNestedRoute(), calls, time.Now())
 }
 
 // recordSilence makes other requests avoid a host that fell silent while the request runs there.
--- /dev/null
+++ b/mesh/entry/nested.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"time"
+
+	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/coord/nested"
+)
+
+// serviceHosts is the number of hosts with a target, of each service and in total.
+type serviceHosts struct {
+	byService map[string]int
+	total     int
+}
+
+func countServiceHosts(members []gossip.Member) *serviceHosts {
+	counts := &serviceHosts{byService: make(map[string]int)}
+	for i := range members {
+		seen := make(map[string]bool, 1)
+		for _, target := range members[i].Targets {
+			if !seen[target.Service] {
+				seen[target.Service] = true
+				counts.byService[target.Service]++
+			}
+		}
+		if len(seen) > 0 {
+			counts.total++
+		}
+	}
+	return counts
+}
+
+// distinct reports whether the service has few enough of the hosts that requests from them only can't
+// be those of callers that choose any host.
+func (h *serviceHosts) distinct(service string) bool {
+	return service != "" && float64(h.byService[service]) <= nested.MaxOriginShare*float64(h.total)
+}
+
+// detectNested sets whether the request is made by a target while it runs another one: its chain has
+// passed an entry before, or the exits report that requests on its route from the hosts of this
+// service are nested. The latter are attributed to what runs at the targets of this host.
+func (c *callerRequest) detectNested() {
+	e := c.entry
+	now := time.Now()
+	if e.nestedRoutes.Nested(c.route.Name, now) && e.routing.hostsByService.Load().distinct(*e.service.Load()) {
+		c.nested = true
+		e.deps.Parents.Observe(c.route.Name, now)
+		return
+	}
+	c.nested = c.hops > 1
+}
--- /dev/null
+++ b/mesh/entry/nested_test.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/mesh/peer/peerpb"
+)
+
+// reportsNested returns a host that reports its route as nested.
+func reportsNested(stream *pipeStream, _ *peerpb.CallHead, attempt uint64) {
+	_ = stream.Send(responseFrame(attempt, &peerpb.AnswerHead{
+		Status: 200, Complete: true, Load: &peerpb.Load{Slots: 4, NestedRoute: true, NestedCallsPermille: 2000},
+	}))
+}
+
+// Guards against nested requests that the exit can't tell from those of callers, and against callers
+// that are taken for targets because most hosts run the service of this one.
+func TestEntryMarksNestedRequests(t *testing.T) {
+	tests := []struct {
+		name    string
+		service string
+		other   int // hosts of other services
+		hops    string
+		host    hostHandler
+		want    bool
+	}{
+		{"reported route", "orders", 1, "", reportsNested, true},
+		{"no report", "orders", 1, "", respondsWith(200, ""), false},
+		{"service of most hosts", "orders", 0, "", reportsNested, false},
+		{"no service", "", 1, "", reportsNested, false},
+		{"a chain", "orders", 1, "1", respondsWith(200, ""), true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, testSettings(), nil, map[string]hostHandler{"a0": test.host})
+			f.entry.Configure(test.service, testSettings().Retry)
+			members := []gossip.Member{hostMember("a0", "a", "v1")}
+			for range test.other {
+				other := hostMember("b1", "b")
+				other.Targets = []gossip.Target{{Service: "shop", Version: "v1", Slots: 1, State: gossip.TargetReady}}
+				members = append(members, other)
+			}
+			f.entry.SetMembers(members)
+			for range 3 {
+				request := httptest.NewRequest("GET", "/catalog", nil)
+				if test.hops != "" {
+					request.Header.Set(HeaderHops, test.hops)
+				}
+				is.Equal(f.serveRecorded(request).Code, 200)
+			}
+			is.Equal(f.hosts.heads[2].GetNested(), test.want)
+		})
+	}
+}
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -27,6 +27,7 @@
 	route     *revision.Route
 	service   string // of the route, or drawn from the route's split
 	hops      uint32
+	nested    bool // see detectNested
 	startedAt time.Time
 	deadline  time.Time
 	// deadlineFromCaller means that the caller requested a shorter timeout than that of the route,
@@ -55,6 +56,7 @@
 func (c *callerRequest) serve() {
 	c.ctx = c.dispatchContext()
 	c.headers = requestHeaders(c)
+	c.detectNested()
 	if failed := c.acquireClaim(); failed != nil {
 		c.writeFailure(failed)
 		return
--- a/mesh/entry/routing.go
+++ b/mesh/entry/routing.go
@@ -24,7 +24,8 @@
 	plans         atomic.Pointer[map[string]*servicePlan]
 	serviceTimes  balance.ServiceTimes
 	// mutex serializes changes to the fields above.
-	mutex sync.Mutex
+	mutex          sync.Mutex
+	hostsByService atomic.Pointer[serviceHosts]
 	// The fields below are guarded by mutex.
 	members         []gossip.Member
 	pendingVersions *balance.PendingVersions
@@ -62,6 +63,7 @@
 	r.index.Store(balance.NewIndex(self, nil, nil))
 	r.halts.Store(&map[string]halt{})
 	r.plans.Store(&map[string]*servicePlan{})
+	r.hostsByService.Store(&serviceHosts{})
 	return r
 }
 
@@ -69,6 +71,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.members = members
+	r.hostsByService.Store(countServiceHosts(members))
 	r.index.Store(r.newIndex())
 	r.applyLimits()
 }
--- a/mesh/exit/callerrequest.go
+++ b/mesh/exit/callerrequest.go
@@ -118,5 +118,6 @@
 	reported.WaitMicros = wait.Microseconds()
 	reported.FailurePermille = uint32(failures * 1000)
 	reported.ServiceMicros = service.Microseconds()
+	c.reportNested(reported, now)
 	return reported
 }
--- a/mesh/exit/conventions.go
+++ b/mesh/exit/conventions.go
@@ -17,6 +17,9 @@
 	// Revision names the request field with the configuration revision by which the request was
 	// routed.
 	Revision string
+	// Origin names the request field with the service of the host at which the request began. Without
+	// it no request counts as nested.
+	Origin string
 	// Instance names the request field with the target instance that a request is meant for.
 	// Another target to which the address was reassigned responds with status 421 and does not
 	// run the request.
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -15,6 +15,7 @@
 	"sassafrasnotch.example/coord/departure"
 	"sassafrasnotch.example/coord/descriptors"
 	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/coord/nested"
 	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/peer/peerpb"
@@ -34,6 +35,8 @@
 	outcomes     outcomes
 	targetConns  *limitedconn.Limit
 	healthPath   func(service string) string
+	origins      *nested.Origins
+	parents      *nested.Parents
 	// departuresKnown means that no earlier process of this daemon has acknowledged departures.
 	departuresKnown bool
 
@@ -101,6 +104,8 @@
 		recorded:     make(chan struct{}),
 		healthPath:   func(string) string { return "" },
 		onDeparture:  func() {},
+		origins:      nested.NewOrigins(),
+		parents:      nested.NewParents(),
 		outcomes:     newOutcomes(self.Zone),
 		targetConns:  &limitedconn.Limit{Budget: descriptors.Unlimited(), Part: descriptors.Targets},
 		targets:      make(map[string]*target),
@@ -138,8 +143,10 @@
 		return c.sendRefusal(refusal) && c.body.fullyRead()
 	}
 	started := time.Now()
+	c.beginRun(started)
 	result := c.dispatch()
 	elapsed := time.Since(started)
+	c.endRun(elapsed)
 	e.release(c, result, elapsed)
 	c.countOutcome(result, elapsed)
 	return (result.kind == responded || result.refusalSent) && c.body.fullyRead()
