Give retries to nested requests first

Each service had 0.1 of its requests as retries, whoever made them. A refused nested request throws away the run that made it, and a repeated run repeats its nested requests at another service. Requests of targets now deposit 0.14 of a retry (entry.retry.nestedShare, by default 1.4 times the share), requests from outside the share, those whose runs make nested ones half of it, counted in nested requests. A service with nested requests leaves 0.23 of its reserve to the repeats that other services cause, and the last 0.38 to nested requests. A nested request is not retried once nothing runs at the target of its host. Without nested requests share and reserve are as before, but for one case: a budget whose part of the fleet's reserve is below one retry now spends a part of it at any level, not only when it is full, with the probability of that part; before, deposits beyond a full bucket were lost between failures.

retry_test.go: Deposit and TryWithdraw take a kind; the checks are the same, one case is new.

--- a/coord/nested/routes.go
+++ b/coord/nested/routes.go
@@ -67,13 +67,13 @@
 	return nested >= minReports && nested > reports.outside.at(now, halfLife)
 }
 
-// CallsPerRun returns how many nested requests a run of the route makes; 0 if it makes none or none
-// was reported within two half-lives.
+// CallsPerRun returns how many nested requests a run of the route makes; 0 if it makes hardly any or
+// nothing was reported within two half-lives.
 func (r *Routes) CallsPerRun(route string, now time.Time) float64 {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	reports := r.routes[route]
-	if reports == nil || now.Sub(reports.callsAt) > 2*halfLife {
+	if reports == nil || reports.calls < minCallsPerRun || now.Sub(reports.callsAt) > 2*halfLife {
 		return 0
 	}
 	return reports.calls
--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -8,23 +8,42 @@
 
 // Limits are the limits of a Budget.
 type Limits struct {
-	// Share is the part of a retry that each request deposits: the long-term ratio of
-	// retries to requests.
-	Share float64
+	// Shares are the parts of a retry that requests deposit: the long-term ratio of retries to
+	// requests.
+	Shares Shares
 	// Reserve is the number of retries that a full budget holds. It may be a fraction: the part of
 	// one process in a reserve that many share.
 	Reserve float64
 }
 
 // DefaultLimits are the limits of a daemon that shares no reserve with others.
-var DefaultLimits = Limits{Share: 0.1, Reserve: 20}
+var DefaultLimits = Limits{Shares: SharesOf(0.1, 0), Reserve: 20}
 
-// Budget bounds retries to a share of requests: it is a token bucket that requests fill and
-// retries drain. It is safe for concurrent use.
+const (
+	// parentPart is the part of the reserve that a service may use for repeated runs that make nested
+	// requests, counted in these.
+	parentPart = 0.2
+	// unusedPart is the part of the reserve that a service with nested requests does not use, since
+	// repeated runs elsewhere bring as many arrivals beyond the first: with their own retries
+	// 0.2 × 1.14.
+	unusedPart = 0.23
+	// nestedPart is the part of the reserve that nested requests alone may use.
+	nestedPart = 0.38
+	// nestedMemory is the number of requests from outside after a nested one for which both parts are
+	// kept.
+	nestedMemory = 1000
+)
+
+// Budget bounds the retries of a service to shares of its requests: it is a token bucket that
+// requests fill and retries drain. A second bucket bounds the repeated runs that make nested requests,
+// by the number of these, so that the budgets of two services of a chain don't multiply. It is safe
+// for concurrent use.
 type Budget struct {
-	share   atomic.Int64 // tokens that a request deposits
-	reserve atomic.Int64 // tokens that a full budget holds
-	spent   atomic.Int64 // tokens missing from a full budget
+	limits  atomic.Pointer[Limits]
+	all     bucket
+	parents bucket // in nested requests that repeated runs make
+	// nestedSeen falls from nestedMemory with each request from outside since the last nested one.
+	nestedSeen atomic.Int64
 }
 
 // NewBudget returns a full budget.
@@ -39,58 +58,67 @@
 // start.
 func NewEmptyBudget(limits Limits) *Budget {
 	b := NewBudget(limits)
-	b.spent.Store(b.reserve.Load())
+	b.all.empty()
+	b.parents.empty()
 	return b
 }
 
 // SetLimits changes the limits. An empty budget stays empty.
 func (b *Budget) SetLimits(limits Limits) {
-	b.share.Store(int64(limits.Share * tokensPerRetry))
-	b.reserve.Store(int64(limits.Reserve * tokensPerRetry))
-	for {
-		spent := b.spent.Load()
-		if spent <= b.reserve.Load() || b.spent.CompareAndSwap(spent, b.reserve.Load()) {
-			return
-		}
-	}
+	b.limits.Store(&limits)
+	b.all.setSize(limits.Reserve)
+	b.parents.setSize(parentPart * limits.Reserve)
 }
 
 // Remaining returns the number of retries that the budget holds.
-func (b *Budget) Remaining() float64 {
-	return float64(max(b.reserve.Load()-b.spent.Load(), 0)) / tokensPerRetry
-}
+func (b *Budget) Remaining() float64 { return b.all.held() }
 
 // Deposit adds a request's share of a retry to the budget.
-func (b *Budget) Deposit() {
-	for {
-		spent := b.spent.Load()
-		if spent == 0 {
-			return
-		}
-		if b.spent.CompareAndSwap(spent, max(spent-b.share.Load(), 0)) {
-			return
-		}
+func (b *Budget) Deposit(kind Kind) {
+	if kind.Nested {
+		b.nestedSeen.Store(nestedMemory)
+	} else if seen := b.nestedSeen.Load(); seen > 0 {
+		b.nestedSeen.CompareAndSwap(seen, seen-1)
+	}
+	share := b.limits.Load().Shares.of(kind)
+	b.all.deposit(share)
+	if kind.CallsPerRun > 0 {
+		b.parents.deposit(share * kind.parentCost())
+	}
+}
+
+// parentCost is the number of arrivals beyond the first that a repeated run causes at any one
+// service, at most.
+func (k Kind) parentCost() float64 { return max(k.CallsPerRun, 1) }
+
+// TryWithdraw withdraws one retry and reports whether the budget held one. Requests from outside
+// leave the last part of the reserve to nested ones. A full budget that holds less than one retry,
+// since many processes share the reserve, is emptied and grants a retry with the probability of its
+// content, so that all of them together retry as much as the reserve allows. The draw is uniform from
+// 0 up to 1.
+func (b *Budget) TryWithdraw(kind Kind, draw float64) bool {
+	if kind.CallsPerRun == 0 {
+		return draw < b.all.withdraw(1, b.keptFrom(kind))
+	}
+	cost := kind.parentCost()
+	run := b.parents.withdraw(cost, 0)
+	if draw >= run {
+		return false
+	}
+	granted := b.all.withdraw(1, b.keptFrom(kind))
+	if granted == 0 {
+		b.parents.deposit(run * cost)
 	}
+	return draw/run < granted
 }
 
-// TryWithdraw withdraws one retry and reports whether the budget held one. A full budget that
-// holds less than one, since many processes share the reserve, is emptied and grants a retry with
-// the probability of its content, so that all of them together retry as much as the reserve
-// allows. The draw is uniform from 0 up to 1.
-func (b *Budget) TryWithdraw(draw float64) bool {
-	for {
-		spent, reserve := b.spent.Load(), b.reserve.Load()
-		held := reserve - spent
-		cost := int64(tokensPerRetry)
-		switch {
-		case held >= tokensPerRetry:
-		case reserve < tokensPerRetry && held > 0 && spent == 0:
-			cost = held
-		default:
-			return false
-		}
-		if b.spent.CompareAndSwap(spent, spent+cost) {
-			return draw*tokensPerRetry < float64(cost)
-		}
+// keptFrom returns the part of the reserve that requests of a kind leave.
+func (b *Budget) keptFrom(kind Kind) float64 {
+	switch {
+	case kind.Nested:
+		return unusedPart
+	case b.nestedSeen.Load() > 0:
+		return unusedPart + nestedPart
 	}
+	return 0
 }
--- a/coord/retry/retry.go
+++ b/coord/retry/retry.go
@@ -53,7 +53,12 @@
 // History is the state of a request after an attempt. Outcome is that of the latest attempt.
 type History struct {
 	Outcome Outcome
-	Repeat  revision.Repeat
+	// Kind is the place of the request in a chain.
+	Kind Kind
+	// ParentEnded means that the request is nested and the run that made it has ended, so that nobody
+	// waits for the response.
+	ParentEnded bool
+	Repeat      revision.Repeat
 	// Replayable is set if the whole request body is still available.
 	Replayable bool
 	// Attempts is the number of attempts so far; Crashes counts those of them that were in
@@ -84,7 +89,7 @@
 // a target are bounded separately, by MaxNoTarget, and withdraw nothing: they put no load on a
 // target, and many hosts may leave at the same time.
 func Decide(history History, budget *Budget, jitter float64) Decision {
-	if !history.repeatable() || history.Remaining < minRemaining {
+	if !history.repeatable() || history.ParentEnded || history.Remaining < minRemaining {
 		return Decision{}
 	}
 	if history.NoTarget >= MaxNoTarget || history.countedAttempts() >= history.maxAttempts() {
@@ -94,7 +99,7 @@
 		return Decision{Retry: true}
 	}
 	backoff := history.backoff(jitter)
-	if history.Remaining-backoff < minRemaining || !budget.TryWithdraw(jitter) {
+	if history.Remaining-backoff < minRemaining || !budget.TryWithdraw(history.Kind, jitter) {
 		return Decision{}
 	}
 	return Decision{Retry: true, Backoff: backoff}
--- a/coord/retry/retry_test.go
+++ b/coord/retry/retry_test.go
@@ -31,6 +31,7 @@
 		{"hosts without a target do not count", History{Outcome: Refused, Replayable: true, Attempts: MaxAttempts, NoTarget: 2, LastNoTarget: true, Remaining: time.Second}, true},
 		{"counted attempts used up, others beside them", History{Outcome: Refused, Replayable: true, Attempts: MaxAttempts + 2, NoTarget: 2, Remaining: time.Second}, false},
 		{"too many hosts without a target", History{Outcome: Refused, Replayable: true, Attempts: MaxNoTarget, NoTarget: MaxNoTarget, LastNoTarget: true, Remaining: time.Second}, false},
+		{"the run that made it has ended", History{Outcome: Refused, Replayable: true, Attempts: 1, ParentEnded: true, Remaining: time.Second}, false},
 		{"no time remaining", History{Outcome: Refused, Replayable: true, Attempts: 1}, false},
 		{"backoff ends past the deadline", History{Outcome: Refused, Replayable: true, Attempts: 2, Remaining: 2 * time.Millisecond}, false},
 	}
@@ -58,9 +59,9 @@
 		requests, retries := 0, 0
 		for _, isRequest := range rapid.SliceOfN(rapid.Bool(), 0, 2000).Draw(t, "requests") {
 			if isRequest {
-				budget.Deposit()
+				budget.Deposit(Kind{})
 				requests++
-			} else if budget.TryWithdraw(0.5) {
+			} else if budget.TryWithdraw(Kind{}, 0.5) {
 				retries++
 			}
 			if float64(retries) > float64(requests)/10+DefaultLimits.Reserve {
@@ -78,7 +79,7 @@
 	budget := NewBudget(DefaultLimits)
 	attempts := 0
 	for range requests {
-		budget.Deposit()
+		budget.Deposit(Kind{})
 		for count := 1; ; count++ {
 			attempts++
 			history := History{Outcome: Refused, Replayable: true, Attempts: count, Remaining: time.Second}
@@ -99,15 +100,15 @@
 	const processes, restarts, requests, reserve = 11, 6, 5, 60
 	retries := 0
 	for range processes * restarts {
-		budget := NewEmptyBudget(Limits{Share: 0.1, Reserve: reserve})
+		budget := NewEmptyBudget(Limits{Shares: SharesOf(0.1, 0), Reserve: reserve})
 		for range requests {
-			budget.Deposit()
-			for budget.TryWithdraw(0.5) {
+			budget.Deposit(Kind{})
+			for budget.TryWithdraw(Kind{}, 0.5) {
 				retries++
 			}
 		}
-		budget.SetLimits(Limits{Share: 0.1, Reserve: reserve / processes})
-		for budget.TryWithdraw(0.5) {
+		budget.SetLimits(Limits{Shares: SharesOf(0.1, 0), Reserve: reserve / processes})
+		for budget.TryWithdraw(Kind{}, 0.5) {
 			retries++
 		}
 	}
@@ -117,21 +118,21 @@
 // An empty budget must fill with requests up to its reserve, also when the reserve changes.
 func TestEmptyBudgetFills(t *testing.T) {
 	is := is.New(t)
-	budget := NewEmptyBudget(Limits{Share: 0.1, Reserve: 60})
-	is.True(!budget.TryWithdraw(0.5))
-	budget.SetLimits(Limits{Share: 0.1, Reserve: 5})
+	budget := NewEmptyBudget(Limits{Shares: SharesOf(0.1, 0), Reserve: 60})
+	is.True(!budget.TryWithdraw(Kind{}, 0.5))
+	budget.SetLimits(Limits{Shares: SharesOf(0.1, 0), Reserve: 5})
 	for range 10 {
-		budget.Deposit()
+		budget.Deposit(Kind{})
 	}
-	is.True(budget.TryWithdraw(0.5))
-	is.True(!budget.TryWithdraw(0.5))
+	is.True(budget.TryWithdraw(Kind{}, 0.5))
+	is.True(!budget.TryWithdraw(Kind{}, 0.5))
 	for range 1000 {
-		budget.Deposit()
+		budget.Deposit(Kind{})
 	}
 	for range 5 {
-		is.True(budget.TryWithdraw(0.5))
+		is.True(budget.TryWithdraw(Kind{}, 0.5))
 	}
-	is.True(!budget.TryWithdraw(0.5))
+	is.True(!budget.TryWithdraw(Kind{}, 0.5))
 }
 
 // A reserve that more processes share than it holds retries is neither lost nor exceeded.
@@ -140,13 +141,13 @@
 	const processes, reserve, requests = 570, 430, 20
 	retries := 0
 	for process := range processes {
-		budget := NewEmptyBudget(Limits{Share: 0.1, Reserve: float64(reserve) / processes})
+		budget := NewEmptyBudget(Limits{Shares: SharesOf(0.1, 0), Reserve: float64(reserve) / processes})
 		for range requests {
-			budget.Deposit()
+			budget.Deposit(Kind{})
 		}
 		for try := range 5 { // of which a process with one retry could make one
 			draw := float64(process) / processes
-			if budget.TryWithdraw(draw) {
+			if budget.TryWithdraw(Kind{}, draw) {
 				retries++
 				is.Equal(try, 0)
 			}
--- a/mesh/entry/nested.go
+++ b/mesh/entry/nested.go
@@ -5,6 +5,7 @@
 
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/nested"
+	"sassafrasnotch.example/coord/retry"
 )
 
 // serviceHosts is the number of hosts with a target, of each service and in total.
@@ -43,9 +44,10 @@
 	e := c.entry
 	now := time.Now()
 	if e.nestedRoutes.Nested(c.route.Name, now) && e.routing.hostsByService.Load().distinct(*e.service.Load()) {
-		c.nested = true
+		c.nested, c.parentHere = true, true
 		e.deps.Parents.Observe(c.route.Name, now)
-		return
+	} else {
+		c.nested = c.hops > 1
 	}
-	c.nested = c.hops > 1
+	c.kind = retry.Kind{Nested: c.nested, CallsPerRun: e.nestedRoutes.CallsPerRun(c.route.Name, now)}
 }
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -28,8 +28,11 @@
 	service   string // of the route, or drawn from the route's split
 	hops      uint32
 	nested    bool // see detectNested
-	startedAt time.Time
-	deadline  time.Time
+	// parentHere means that the request is made by a target of this host.
+	parentHere bool
+	kind       retry.Kind
+	startedAt  time.Time
+	deadline   time.Time
 	// deadlineFromCaller means that the caller requested a shorter timeout than that of the route,
 	// or than the default of the settings for a route without one.
 	deadlineFromCaller bool
@@ -80,7 +83,7 @@
 	if plan == nil {
 		return refused(ReasonNoTarget, stepBalance, "service "+c.service+" has no split")
 	}
-	plan.budget.Deposit()
+	plan.budget.Deposit(c.kind)
 	choice := plan.Choose(c.entry.deps.Random)
 	if choice == nil {
 		return refused(ReasonNoTarget, stepBalance, "no target of service "+c.service+" is known")
@@ -156,6 +159,8 @@
 	}
 	decision := retry.Decide(retry.History{
 		Outcome:      failed.outcome,
+		Kind:         c.kind,
+		ParentEnded:  c.parentHere && c.entry.deps.Parents.Running() == 0,
 		Repeat:       c.route.Repeat,
 		Replayable:   !c.uploading,
 		Attempts:     len(c.triedHosts),
--- a/mesh/entry/routing.go
+++ b/mesh/entry/routing.go
@@ -110,7 +110,7 @@
 // limits returns the retry limits of this daemon, with its part of the reserve that all
 // daemons share if there is one. The caller holds mutex.
 func (r *routing) limits() retry.Limits {
-	limits := retry.Limits{Share: r.retrySettings.Share, Reserve: r.retrySettings.Reserve}
+	limits := retry.Limits{Shares: retry.SharesOf(r.retrySettings.Share, r.retrySettings.NestedShare), Reserve: r.retrySettings.Reserve}
 	if r.retrySettings.FleetReserve > 0 {
 		// Members that appear dead count too: they may serve on the other side of a network
 		// partition, and the sum over all daemons has to stay bounded.
