Refuse runs that would fail for lack of room elsewhere

A run whose nested requests are refused holds a slot and ends with an error. The exit now lets through 1.1 times the recent successes of a route whose runs make nested requests, and refuses the other requests from outside at once (reason dependency), but only while nested requests of its host are refused for lack of room. Four probes a second always pass. The entry tries no other host after such a refusal. An older entry takes the reason as unspecified and may spend a retry on it.

--- /dev/null
+++ b/coord/nested/model_test.go
@@ -0,0 +1,416 @@
+package nested_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"sassafrasnotch.example/coord/admission"
+	"sassafrasnotch.example/coord/nested"
+	"sassafrasnotch.example/coord/retry"
+	"sassafrasnotch.example/coord/revision"
+)
+
+// The model: callers ask the first service, whose runs make two nested requests each at the second
+// service and fail if one is missing. Callers ask the second service too, and come back twice.
+
+// decisions are those that are compared.
+type decisions struct {
+	name        string
+	nestedFirst bool // in the retry budget
+	inQueue     bool // nested requests run first
+	throttle    bool
+	retryAfter  func(m *model, t *target) time.Duration
+}
+
+// conditions are what the decisions have to cope with.
+type conditions struct {
+	load     float64 // of the second service, as a part of its capacity
+	rejected float64 // part of the arrivals that targets of the second service reject
+	plain    float64 // part of the requests at the first service that make no nested ones
+	burst    float64 // factor on requests at the first service from 5 s to 11 s
+	seed     uint64
+	patience time.Duration // of a caller, from its first attempt; 0 means 1 s
+	parents  float64       // load of the first service; 0 means 0.8
+}
+
+const (
+	slots       = 6
+	queueLength = 24
+	objective   = 500 * time.Millisecond // after which a response is of little use
+	ownWork     = 100 * time.Millisecond // of a run of the first service, before its nested requests
+	comeBacks   = 2
+)
+
+type model struct {
+	decisions
+	conditions
+	now      time.Time
+	end      time.Time
+	random   *rand.Rand
+	arrivals *rand.Rand // of its own, so that all decisions meet the same callers
+	events   events
+	sequence uint64
+	services [2]*service
+	result   result
+}
+
+// result counts by second since the start.
+type result struct {
+	served, asked [64]int // callers at the first service
+	servedSecond  [64]int // callers at the second service
+	runTime       time.Duration
+	thrownAway    time.Duration
+	arrivals      [2]int
+	firsts        [2]int
+	callersBack   int
+}
+
+type service struct {
+	targets  []*target
+	budget   *retry.Budget
+	workTime time.Duration
+	rejected float64
+	index    int
+	refused  float64 // moving part of refused requests
+}
+
+type target struct {
+	admission *admission.Target
+	throttle  *nested.Throttle
+	waiting   map[uint64]func(bool)
+}
+
+// request is one request at a service, of a caller or of a run.
+type request struct {
+	kind     retry.Kind
+	deadline time.Time
+	first    bool    // not a repeat of any kind
+	origin   *target // whose run makes it
+	attempts int
+	tried    []*target
+	done     func(outcome outcome, retryAfter time.Duration)
+}
+
+type outcome int
+
+const (
+	served outcome = iota
+	refused
+	failed
+)
+
+type event struct {
+	at       time.Time
+	sequence uint64
+	run      func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].sequence < e[j].sequence
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (m *model) after(delay time.Duration, run func()) {
+	m.sequence++
+	heap.Push(&m.events, event{m.now.Add(delay), m.sequence, run})
+}
+
+func newModel(d decisions, c conditions, seconds int) *model {
+	start := time.Unix(1000, 0)
+	m := &model{decisions: d, conditions: c, now: start, end: start.Add(time.Duration(seconds) * time.Second), random: rand.New(rand.NewPCG(c.seed, 2)), arrivals: rand.New(rand.NewPCG(c.seed, 3))}
+	for i, count := range []int{12, 10} {
+		s := &service{index: i, budget: retry.NewBudget(retry.Limits{Shares: retry.SharesOf(0.1, 0), Reserve: 160})}
+		for range count {
+			config := admission.Config{Slots: slots, QueueLength: queueLength}
+			s.targets = append(s.targets, &target{
+				admission: admission.NewTarget(config, start), throttle: nested.NewThrottle(), waiting: make(map[uint64]func(bool)),
+			})
+		}
+		m.services[i] = s
+	}
+	return m
+}
+
+// run lets callers arrive until the end.
+func (m *model) run() *result {
+	if m.patience == 0 {
+		m.patience = time.Second
+	}
+	first := m.parents
+	if first == 0 {
+		first = 0.8
+	}
+	perSecond := first * 12 * slots / 0.14
+	second := perSecond * 2 * (1 - m.plain) / 0.7 // a further 0.3 come from callers
+	m.services[0].workTime = ownWork
+	m.services[1].workTime = time.Duration(m.load * 10 * slots / second * float64(time.Second))
+	m.services[1].rejected = m.rejected
+	m.arrive(perSecond, func() { m.caller(0) })
+	m.arrive(0.3*second, func() { m.caller(1) })
+	m.tick()
+	for len(m.events) > 0 && m.now.Before(m.end) {
+		next := heap.Pop(&m.events).(event)
+		m.now = next.at
+		next.run()
+	}
+	return &m.result
+}
+
+func (m *model) arrive(perSecond float64, caller func()) {
+	rate := perSecond
+	if second := m.second(); m.burst > 0 && second >= 5 && second < 11 {
+		rate *= m.burst
+	}
+	m.after(time.Duration(m.arrivals.ExpFloat64()/rate*float64(time.Second)), func() {
+		caller()
+		m.arrive(perSecond, caller)
+	})
+}
+
+func (m *model) second() int { return int(m.now.Sub(time.Unix(1000, 0)) / time.Second) }
+
+func (m *model) tick() {
+	for _, s := range m.services {
+		for _, t := range s.targets {
+			t.apply(t.admission.Tick(m.now))
+		}
+	}
+	m.after(5*time.Millisecond, m.tick)
+}
+
+func (t *target) apply(actions []admission.Action) {
+	for _, action := range actions {
+		decided := t.waiting[action.ID]
+		delete(t.waiting, action.ID)
+		decided(action.Verdict == admission.Run)
+	}
+}
+
+// caller asks a service and comes back while it has time. One in two requests may be repeated after a
+// failure.
+func (m *model) caller(index int) {
+	begun := m.second()
+	deadline := m.now.Add(m.patience)
+	safe := m.arrivals.IntN(2) == 0
+	kind := retry.Kind{}
+	if index == 0 && m.arrivals.Float64() >= m.plain {
+		kind.CallsPerRun = 2
+	}
+	if index == 0 {
+		m.result.asked[begun]++
+	}
+	left := comeBacks
+	var ask func(first bool)
+	ask = func(first bool) {
+		m.request(index, &request{kind: kind, deadline: deadline, first: first, done: func(o outcome, retryAfter time.Duration) {
+			switch {
+			case o == served && index == 0:
+				m.result.served[begun]++
+				return
+			case o == served:
+				m.result.servedSecond[begun]++
+				return
+			case left == 0 || o == failed && !safe || !m.now.Before(deadline):
+				return
+			}
+			left--
+			m.result.callersBack++
+			wait := min(max(retryAfter, 50*time.Millisecond), deadline.Sub(m.now)/3)
+			m.after(wait, func() { ask(false) })
+		}})
+	}
+	ask(true)
+}
+
+// request finds a target for a request.
+func (m *model) request(index int, r *request) {
+	s := m.services[index]
+	s.budget.Deposit(m.kindOf(r))
+	if r.first {
+		m.result.firsts[index]++
+	}
+	m.attempt(s, r)
+}
+
+// kindOf returns the kind by which the budget judges.
+func (m *model) kindOf(r *request) retry.Kind {
+	if m.nestedFirst {
+		return r.kind
+	}
+	return retry.Kind{}
+}
+
+// attempt offers the request to three targets and queues it where the wait is shortest.
+func (m *model) attempt(s *service, r *request) {
+	if !m.now.Before(r.deadline) {
+		r.done(failed, 0)
+		return
+	}
+	drawn := m.draw(s, r.tried)
+	for _, t := range drawn {
+		if t.admission.Available(m.now) {
+			m.submit(s, t, r)
+			return
+		}
+	}
+	best := drawn[0]
+	for _, t := range drawn[1:] {
+		if t.admission.Wait(m.now) < best.admission.Wait(m.now) {
+			best = t
+		}
+	}
+	m.submit(s, best, r)
+}
+
+func (m *model) draw(s *service, tried []*target) []*target {
+	var drawn []*target
+	for _, i := range m.random.Perm(len(s.targets)) {
+		used := false
+		for _, t := range tried {
+			used = used || t == s.targets[i]
+		}
+		if !used && len(drawn) < 3 {
+			drawn = append(drawn, s.targets[i])
+		}
+	}
+	return drawn
+}
+
+func (m *model) submit(s *service, t *target, r *request) {
+	if m.refusedBeforeRun(t, r) {
+		m.refuse(s, t, r)
+		return
+	}
+	m.sequence++
+	submitted := admission.Request{ID: m.sequence, Deadline: r.deadline, SoftDeadline: r.deadline.Add(objective - m.patience), Class: class(r)}
+	if m.inQueue && r.kind.Nested {
+		submitted.Priority = 1
+	}
+	t.waiting[submitted.ID] = func(runs bool) {
+		if runs {
+			m.runAt(s, t, r)
+		} else {
+			m.refuse(s, t, r)
+		}
+	}
+	action, shed := t.admission.Submit(submitted, m.now)
+	t.apply(shed)
+	if action.Verdict != admission.Wait {
+		t.apply([]admission.Action{action})
+	}
+}
+
+func class(r *request) string {
+	if r.kind.CallsPerRun > 0 {
+		return "parent"
+	}
+	return "plain"
+}
+
+// refusedBeforeRun is the decision of the exit: it refuses runs that would mostly fail while slots are
+// short here or the other service refuses for lack of room.
+func (m *model) refusedBeforeRun(t *target, r *request) bool {
+	if !m.throttle || r.kind.CallsPerRun == 0 {
+		return false
+	}
+	return t.throttle.Refuse("parent", m.random.Float64(), m.now)
+}
+
+func (m *model) refuse(s *service, t *target, r *request) {
+	s.refused += (1 - s.refused) / 256
+	if r.origin != nil {
+		r.origin.throttle.RecordNested(true, m.now)
+	}
+	wait := t.admission.RetryAfter(m.now)
+	if m.retryAfter != nil {
+		wait = m.retryAfter(m, t)
+	}
+	r.done(refused, wait)
+}
+
+// runAt runs an attempt on a slot.
+func (m *model) runAt(s *service, t *target, r *request) {
+	m.result.arrivals[s.index]++
+	s.refused -= s.refused / 256
+	r.attempts++
+	r.tried = append(r.tried, t)
+	begun := m.now
+	end := func(o outcome) {
+		t.apply(t.admission.Complete(class(r), m.now.Sub(begun), m.now))
+		m.finish(s, t, r, o, m.now.Sub(begun))
+	}
+	if m.random.Float64() < s.rejected {
+		m.after(2*time.Millisecond, func() { end(refused) })
+		return
+	}
+	work := time.Duration((0.5 + m.random.Float64()) * float64(s.workTime))
+	m.after(work, func() {
+		if r.kind.CallsPerRun == 0 {
+			end(served)
+			return
+		}
+		m.callNested(t, r, end)
+	})
+}
+
+// callNested makes the nested requests of a run, which ends with the last response.
+func (m *model) callNested(t *target, r *request, end func(outcome)) {
+	const calls = 2
+	missing, good := calls, true
+	for range calls {
+		m.request(1, &request{kind: retry.Kind{Nested: true}, deadline: r.deadline, first: r.first && r.attempts == 1, origin: t, done: func(o outcome, _ time.Duration) {
+			if o != refused {
+				t.throttle.RecordNested(false, m.now)
+			}
+			good = good && o == served
+			if missing--; missing > 0 {
+				return
+			}
+			if good {
+				end(served)
+			} else {
+				end(failed)
+			}
+		}})
+	}
+}
+
+// finish counts an attempt and retries it as the budget allows.
+func (m *model) finish(s *service, t *target, r *request, o outcome, ran time.Duration) {
+	late := m.now.After(r.deadline)
+	if s.index == 0 {
+		m.result.runTime += ran
+		if o != served || late {
+			m.result.thrownAway += ran
+		}
+	}
+	if r.kind.CallsPerRun > 0 {
+		t.throttle.End("parent", o == served && !late, m.now)
+	}
+	if o == served {
+		if late {
+			o = failed
+		}
+		r.done(o, 0)
+		return
+	}
+	history := retry.History{
+		Outcome: retry.Refused, Repeat: revision.RepeatIdempotent, Kind: m.kindOf(r), Replayable: o == refused, // a response 500 is passed on
+		Attempts: r.attempts, Remaining: r.deadline.Sub(m.now),
+	}
+	if decision := retry.Decide(history, s.budget, m.random.Float64()); decision.Retry {
+		m.after(decision.Backoff, func() { m.attempt(s, r) })
+		return
+	}
+	r.done(o, 0)
+}
--- a/coord/nested/parents.go
+++ b/coord/nested/parents.go
@@ -21,6 +21,9 @@
 // which each has made such requests so far. Over many requests this converges on the routes that
 // make them, as expectation maximisation does for a mixture of Poisson processes.
 type Parents struct {
+	// Throttle decides on further runs of the routes.
+	Throttle *Throttle
+
 	mu     sync.Mutex
 	routes map[string]*parentRoute
 }
@@ -33,7 +36,9 @@
 }
 
 // NewParents returns a Parents that has learned nothing.
-func NewParents() *Parents { return &Parents{routes: make(map[string]*parentRoute)} }
+func NewParents() *Parents {
+	return &Parents{Throttle: NewThrottle(), routes: make(map[string]*parentRoute)}
+}
 
 // Begin records that a run of a route begins at a target of this host.
 func (p *Parents) Begin(route string) {
--- a/mesh/entry/nested.go
+++ b/mesh/entry/nested.go
@@ -51,3 +51,19 @@
 	}
 	c.kind = retry.Kind{Nested: c.nested, CallsPerRun: e.nestedRoutes.CallsPerRun(c.route.Name, now)}
 }
+
+// recordNested records whether a request that a target of this host made was refused for lack of room.
+func (c *callerRequest) recordNested(failed *failure) {
+	if c.parentHere && !c.cancelled() {
+		c.entry.deps.Parents.Throttle.RecordNested(failed.isLackOfRoom(), time.Now())
+	}
+}
+
+// isLackOfRoom reports whether hosts refused the request, or let its deadline pass in a queue, because
+// their targets were busy.
+func (f *failure) isLackOfRoom() bool {
+	if f == nil || f.outcome != retry.Refused {
+		return false
+	}
+	return f.byAdmission || f.reason == ReasonExpired || f.reason == ReasonDependency
+}
--- a/mesh/entry/nested_test.go
+++ b/mesh/entry/nested_test.go
@@ -57,3 +57,14 @@
 		})
 	}
 }
+
+// A run that would fail at one host would fail at the others: the refusal ends the search at once.
+func TestRefusedDependencyIsNotTriedElsewhere(t *testing.T) {
+	is := is.New(t)
+	refuses := refusesWith(peerpb.RefusalReason_REFUSAL_REASON_DEPENDENCY)
+	f := newFixture(t, testSettings(), nil, map[string]hostHandler{"a0": refuses, "b0": refuses})
+	recorder := f.serveRecorded(httptest.NewRequest("GET", "/catalog", nil))
+	is.Equal(recorder.Code, 503)
+	is.Equal(recorder.Header().Get(HeaderOutcome), "refused")
+	is.Equal(f.hosts.dispatched(), 1)
+}
--- a/mesh/entry/reason.go
+++ b/mesh/entry/reason.go
@@ -52,6 +52,9 @@
 	ReasonKeyMissing Reason = "key-missing"
 	// ReasonKeyReused means that the idempotency key was used for a different request.
 	ReasonKeyReused Reason = "key-reused"
+	// ReasonDependency means that the requests that a run makes at other services are refused, so that
+	// most runs fail. It is a matter of the services, so no other host is tried.
+	ReasonDependency Reason = "dependency"
 	// ReasonUnspecified means that a peer refused the request for a reason that is unknown to
 	// this daemon.
 	ReasonUnspecified Reason = "unspecified"
@@ -94,6 +97,7 @@
 	peerpb.RefusalReason_REFUSAL_REASON_CLAIMED:        ReasonClaimed,
 	peerpb.RefusalReason_REFUSAL_REASON_PLATFORM_DOWN:  ReasonStoreUnavailable,
 	peerpb.RefusalReason_REFUSAL_REASON_LIMIT:          ReasonLimit,
+	peerpb.RefusalReason_REFUSAL_REASON_DEPENDENCY:     ReasonDependency,
 }
 
 // refusalReason converts the reason of a peer, which may be newer than this daemon.
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -69,6 +69,7 @@
 		return
 	}
 	failed := c.dispatch()
+	c.recordNested(failed)
 	if failed == nil {
 		return
 	}
@@ -154,7 +155,7 @@
 	if withoutTarget {
 		c.attemptsWithoutTarget++
 	}
-	if failed.reason == ReasonQuarantined || c.cancelled() {
+	if failed.reason == ReasonQuarantined || failed.reason == ReasonDependency || c.cancelled() {
 		return false
 	}
 	decision := retry.Decide(retry.History{
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -27,6 +27,9 @@
 	if c.pathErr != nil {
 		return &refusal{reason: peerpb.RefusalReason_REFUSAL_REASON_LIMIT, detail: c.pathErr.Error()}
 	}
+	if refused := c.refuseDependent(time.Now()); refused != nil {
+		return refused
+	}
 	decision, refused := c.exit.submit(c)
 	if refused != nil {
 		return refused
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -146,7 +146,7 @@
 	c.beginRun(started)
 	result := c.dispatch()
 	elapsed := time.Since(started)
-	c.endRun(elapsed)
+	c.endRun(result, elapsed)
 	e.release(c, result, elapsed)
 	c.countOutcome(result, elapsed)
 	return (result.kind == responded || result.refusalSent) && c.body.fullyRead()
--- a/mesh/exit/nested.go
+++ b/mesh/exit/nested.go
@@ -1,6 +1,7 @@
 package exit
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"sassafrasnotch.example/coord/nested"
@@ -29,8 +30,36 @@
 	c.exit.parents.Begin(c.head.Route)
 }
 
-func (c *callerRequest) endRun(elapsed time.Duration) {
-	c.exit.parents.End(c.head.Route, elapsed, time.Now())
+// endRun records the end of the run. Whether it succeeded counts for routes that make nested requests.
+func (c *callerRequest) endRun(r result, elapsed time.Duration) {
+	now := time.Now()
+	parents := c.exit.parents
+	parents.End(c.head.Route, elapsed, now)
+	if r.kind != notDispatched && r.kind != callerGone && parents.CallsPerRun(c.head.Route, now) > 0 {
+		parents.Throttle.End(c.head.Route, !r.failed(), now)
+	}
+}
+
+// refuseDependent refuses a request from outside whose run would most likely fail, since the nested
+// requests of such runs are refused for lack of room at another service.
+func (c *callerRequest) refuseDependent(now time.Time) *refusal {
+	parents := c.exit.parents
+	if c.head.Nested || parents.CallsPerRun(c.head.Route, now) == 0 || !parents.Throttle.Refuse(c.head.Route, rand.Float64(), now) {
+		return nil
+	}
+	return &refusal{
+		reason:     peerpb.RefusalReason_REFUSAL_REASON_DEPENDENCY,
+		detail:     "the requests that the run would make at other services are refused for lack of room",
+		retryAfter: c.exit.dependencyRetryAfter(c.key, now),
+	}
+}
+
+// dependencyRetryAfter returns after which time a request that was refused by refuseDependent is to come
+// back: that of the queue here, since the wait at the other service is not known.
+func (e *Exit) dependencyRetryAfter(key versionKey, now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.wait(key, now)
 }
 
 // reportNested states what is known about the route of the request. The route is reported as nested only
