Refuse before the deadline what has reached no target

Three causes of a 504 for requests that reached no target. The wait in a queue ended at the deadline, so that the refusal of a daemon that is short of processor time came after the entry had given up: it now ends a sixteenth of the request's time earlier, at most 50 ms. A daemon that was frozen between the grant of a slot and the write still wrote the request: it now looks at the deadline before the write. A target that forgets its connections without a reset cost one request for each kept connection: after the first one that gets no byte by its deadline, those that have been idle since before it are closed. A refusal for lack of time is final, so that no retry is spent on the rest of it.

A request that was written to a forgotten connection stays of unknown outcome: the target may still run it.

--- a/mesh/entry/reason.go
+++ b/mesh/entry/reason.go
@@ -145,6 +145,12 @@
 	return false
 }
 
+// isFinal reports whether no other host can do better: the request is refused on every host, or too
+// little time is left.
+func (r Reason) isFinal() bool {
+	return r == ReasonQuarantined || r == ReasonDependency || r == ReasonExpired
+}
+
 // causedByCaller reports whether the caller caused the reason.
 func (r Reason) causedByCaller() bool {
 	switch r {
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -155,7 +155,7 @@
 	if withoutTarget {
 		c.attemptsWithoutTarget++
 	}
-	if failed.reason == ReasonQuarantined || failed.reason == ReasonDependency || c.cancelled() {
+	if failed.reason.isFinal() || c.cancelled() {
 		return false
 	}
 	decision := retry.Decide(retry.History{
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -39,6 +39,8 @@
 		return nil
 	}
 	arrived := time.Now()
+	expired := time.NewTimer(time.Until(c.queueDeadline()))
+	defer expired.Stop()
 	select {
 	case action := <-decision:
 		refused := c.applyDecision(action)
@@ -46,9 +48,10 @@
 			c.exit.observeWait(c.head.Service, time.Since(arrived))
 		}
 		return refused
+	case <-expired.C:
 	case <-c.ctx.Done():
-		return c.exit.cancelWait(c, decision)
 	}
+	return c.exit.cancelWait(c, decision)
 }
 
 // submit submits the request to admission control. It returns a channel for the decision if the
@@ -64,7 +67,7 @@
 	c.target = t
 	e.lastAdmissionID++
 	c.admissionID = e.lastAdmissionID
-	request := admission.Request{ID: c.admissionID, Deadline: c.deadline, Priority: int(c.head.Priority), Class: c.head.Route}
+	request := admission.Request{ID: c.admissionID, Deadline: c.queueDeadline(), Priority: int(c.head.Priority), Class: c.head.Route}
 	if c.head.MaxWaitMicros != nil {
 		request.Draw = rand.Float64()
 		request.Bounded, request.MaxWait = true, time.Duration(c.head.GetMaxWaitMicros())*time.Microsecond
--- a/mesh/exit/dispatch.go
+++ b/mesh/exit/dispatch.go
@@ -61,6 +61,7 @@
 	if !c.dispatched {
 		return c.refuseUndispatched(err)
 	}
+	c.dropForgotten()
 	return c.reportFailure("dispatch", err)
 }
 
@@ -141,12 +142,16 @@
 	if err != nil {
 		return nil, err
 	}
-	c.conn = conn
+	if err := c.ctx.Err(); err != nil { // a connection from the pool is returned without a look at the context
+		c.target.conns.put(conn)
+		return nil, err
+	}
 	if c.stream.ClosedByPeer() {
 		c.abort()
 		c.target.conns.put(conn)
 		return nil, errCallerLeft
 	}
+	c.conn = conn
 	conn.begin(c.ctx)
 	response, err := c.roundTrip(conn)
 	unwritten := conn.disableWrites()
@@ -212,6 +217,15 @@
 	}
 }
 
+// dropForgotten closes the idle connections that are older than a request that got no byte of a response
+// on a reused one by its deadline. The target may have forgotten all of them without a reset, and each
+// would cost another request.
+func (c *callerRequest) dropForgotten() {
+	if c.conn.reused && !c.conn.receivedAny && errors.Is(c.ctx.Err(), context.DeadlineExceeded) {
+		c.target.conns.dropIdleSince(c.conn.begunAt)
+	}
+}
+
 // refuseUndispatched refuses a request of which no byte was written to the target.
 func (c *callerRequest) refuseUndispatched(cause error) result {
 	if isConnRefused(cause) {
--- a/mesh/exit/targetconn.go
+++ b/mesh/exit/targetconn.go
@@ -37,6 +37,7 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	reused    bool
+	begunAt   time.Time // the request in flight
 	idleSince time.Time // when it was returned to the pool
 	// idleTimeout is how long it may stay idle from then on.
 	idleTimeout time.Duration
@@ -97,6 +98,7 @@
 func (c *targetConn) begin(ctx context.Context) {
 	c.writeState.Store(connUnwritten)
 	c.receivedAny = false
+	c.begunAt = time.Now()
 	c.writeResult = nil
 	c.watch(ctx)
 }
--- a/mesh/exit/targetconn_test.go
+++ b/mesh/exit/targetconn_test.go
@@ -139,3 +139,33 @@
 		fx.waitForLoad(exit.Load{Slots: 4})
 	}
 }
+
+// Guards against a target that has forgotten its connections without a reset, as after a loss of its
+// state: only the first request may be lost on them.
+func TestForgottenConnectionsCostOneRequest(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t)
+	both := make(chan struct{})
+	var served atomic.Int64
+	fx.rawTarget(func(conn net.Conn, requests *bufio.Reader) {
+		if _, err := readRequest(requests); err != nil {
+			return
+		}
+		if served.Add(1) == 2 {
+			close(both)
+		}
+		<-both // so that the first two requests have a connection each
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_, _ = io.Copy(io.Discard, requests) // answers nothing further
+	})
+	first, second := fx.send(requestHead(http.MethodPost, "/", "swan")), fx.send(requestHead(http.MethodPost, "/", "swan"))
+	is.True(receive(t, first).GetAnswer() != nil)
+	is.True(receive(t, second).GetAnswer() != nil)
+	first.Release()
+	second.Release()
+	fx.waitForLoad(exit.Load{Slots: 4})
+	lost := requestHead(http.MethodPost, "/", "swan")
+	lost.TimeoutMicros = (100 * time.Millisecond).Microseconds()
+	is.True(fx.roundTrip(lost).GetFailure() != nil)
+	is.True(fx.roundTrip(requestHead(http.MethodPost, "/", "swan")).GetAnswer() != nil)
+}
--- a/mesh/exit/targetpool.go
+++ b/mesh/exit/targetpool.go
@@ -100,6 +100,18 @@
 	}
 }
 
+// dropIdleSince closes the connections that have been idle since a time.
+func (p *targetPool) dropIdleSince(since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count := 0
+	for count < len(p.idle) && p.idle[count].idleSince.Before(since) {
+		p.idle[count].Close()
+		count++
+	}
+	p.idle = append(p.idle[:0], p.idle[count:]...)
+}
+
 // close closes the idle connections, and makes put close those in use.
 func (p *targetPool) close() {
 	p.mu.Lock()
