Spread the return of refused callers

Refused callers were told the wait of one queue, at least 50 ms, all nearly the same after a sudden burst. The entry now states that wait divided by the part of the service's recent requests that are not refused, with a jitter of 0.5 to 1.5, and at most a third of the time that the caller has left, beyond which callers don't wait.

--- a/coord/nested/model_test.go
+++ b/coord/nested/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -20,7 +21,7 @@
 	nestedFirst bool // in the retry budget
 	inQueue     bool // nested requests run first
 	throttle    bool
-	retryAfter  func(m *model, t *target) time.Duration
+	returns     bool // refused callers come back by retry.Returns
 }
 
 // conditions are what the decisions have to cope with.
@@ -29,6 +30,8 @@
 	rejected float64 // part of the arrivals that targets of the second service reject
 	plain    float64 // part of the requests at the first service that make no nested ones
 	burst    float64 // factor on requests at the first service from 5 s to 11 s
+	flash    bool    // the burst lasts for 300 ms only
+	swing    float64 // of the requests at both services, with a period of 13 s
 	seed     uint64
 	patience time.Duration // of a caller, from its first attempt; 0 means 1 s
 	parents  float64       // load of the first service; 0 means 0.8
@@ -72,7 +75,7 @@
 	workTime time.Duration
 	rejected float64
 	index    int
-	refused  float64 // moving part of refused requests
+	returns  *retry.Returns
 }
 
 type target struct {
@@ -129,7 +132,7 @@
 	start := time.Unix(1000, 0)
 	m := &model{decisions: d, conditions: c, now: start, end: start.Add(time.Duration(seconds) * time.Second), random: rand.New(rand.NewPCG(c.seed, 2)), arrivals: rand.New(rand.NewPCG(c.seed, 3))}
 	for i, count := range []int{12, 10} {
-		s := &service{index: i, budget: retry.NewBudget(retry.Limits{Shares: retry.SharesOf(0.1, 0), Reserve: 160})}
+		s := &service{index: i, returns: &retry.Returns{}, budget: retry.NewBudget(retry.Limits{Shares: retry.SharesOf(0.1, 0), Reserve: 160})}
 		for range count {
 			config := admission.Config{Slots: slots, QueueLength: queueLength}
 			s.targets = append(s.targets, &target{
@@ -168,15 +171,24 @@
 
 func (m *model) arrive(perSecond float64, caller func()) {
 	rate := perSecond
-	if second := m.second(); m.burst > 0 && second >= 5 && second < 11 {
+	if at := m.now.Sub(time.Unix(1005, 0)); m.burst > 0 && at >= 0 && at < m.burstTime() {
 		rate *= m.burst
 	}
+	rate *= 1 + m.swing*math.Sin(2*math.Pi*m.now.Sub(time.Unix(1000, 0)).Seconds()/13)
 	m.after(time.Duration(m.arrivals.ExpFloat64()/rate*float64(time.Second)), func() {
 		caller()
 		m.arrive(perSecond, caller)
 	})
 }
 
+// burstTime returns how long the burst lasts that begins at 5 s.
+func (m *model) burstTime() time.Duration {
+	if m.flash {
+		return 300 * time.Millisecond
+	}
+	return 6 * time.Second
+}
+
 func (m *model) second() int { return int(m.now.Sub(time.Unix(1000, 0)) / time.Second) }
 
 func (m *model) tick() {
@@ -225,7 +237,10 @@
 			}
 			left--
 			m.result.callersBack++
-			wait := min(max(retryAfter, 50*time.Millisecond), deadline.Sub(m.now)/3)
+			if o == failed || !m.returns {
+				retryAfter = max(retryAfter, 50*time.Millisecond)
+			}
+			wait := min(retryAfter, deadline.Sub(m.now)/3)
 			m.after(wait, func() { ask(false) })
 		}})
 	}
@@ -327,13 +342,13 @@
 }
 
 func (m *model) refuse(s *service, t *target, r *request) {
-	s.refused += (1 - s.refused) / 256
 	if r.origin != nil {
 		r.origin.throttle.RecordNested(true, m.now)
 	}
 	wait := t.admission.RetryAfter(m.now)
-	if m.retryAfter != nil {
-		wait = m.retryAfter(m, t)
+	s.returns.Record(true, m.now)
+	if m.returns {
+		wait = s.returns.After(max(wait, 50*time.Millisecond), r.deadline.Sub(m.now), m.random.Float64(), m.now)
 	}
 	r.done(refused, wait)
 }
@@ -341,7 +356,7 @@
 // runAt runs an attempt on a slot.
 func (m *model) runAt(s *service, t *target, r *request) {
 	m.result.arrivals[s.index]++
-	s.refused -= s.refused / 256
+	s.returns.Record(false, m.now)
 	r.attempts++
 	r.tried = append(r.tried, t)
 	begun := m.now
--- a/coord/nested/overload_test.go
+++ b/coord/nested/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -10,7 +11,8 @@
 	before = decisions{name: "before"}
 	budget = decisions{name: "retries for nested first", nestedFirst: true}
 	queue  = decisions{name: "and nested first in the queue", nestedFirst: true, inQueue: true}
-	all    = decisions{name: "and refusal before the run", nestedFirst: true, inQueue: true, throttle: true}
+	early  = decisions{name: "and refusal before the run", nestedFirst: true, inQueue: true, throttle: true}
+	all    = decisions{name: "and spread return times", nestedFirst: true, inQueue: true, throttle: true, returns: true}
 )
 
 // total returns the callers of the first service that were served and that asked, and those served by
@@ -48,7 +50,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			var results []*result
-			for _, decided := range []decisions{before, budget, queue, all} {
+			for _, decided := range []decisions{before, budget, queue, early, all} {
 				r := newModel(decided, test.conditions, seconds).run()
 				results = append(results, r)
 				served, asked, second := r.total(from, to)
@@ -56,9 +58,9 @@
 					served/(to-from), asked/(to-from), second/(to-from), r.thrownAwayPart())
 			}
 			servedBefore, _, _ := results[0].total(from, to)
-			served, _, _ := results[3].total(from, to)
+			served, _, _ := results[4].total(from, to)
 			is.True(float64(served) >= test.gain*float64(servedBefore))
-			is.True(results[3].thrownAwayPart() <= test.thrownAway)
+			is.True(results[4].thrownAwayPart() <= test.thrownAway)
 		})
 	}
 }
@@ -78,3 +80,19 @@
 		}
 	}
 }
+
+// Guards against refused callers that return together: after a burst of 300 ms most of them were told
+// nearly the same time.
+func TestRefusedCallersOfAFlashAreServedLater(t *testing.T) {
+	is := is.New(t)
+	flash := conditions{load: 0.7, plain: 0.95, parents: 0.9, burst: 10, flash: true, patience: 3 * time.Second}
+	count := func(decided decisions) (served int) {
+		for flash.seed = range 5 {
+			in, asked, _ := newModel(decided, flash, 9).run().total(5, 6)
+			served += in
+			t.Logf("%-28s %d of %d", decided.name, in, asked)
+		}
+		return served
+	}
+	is.True(float64(count(all)) > 1.05*float64(count(early)))
+}
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -101,10 +101,13 @@
 // minRetryAfter is the shortest time in Retry-After when it is in whole seconds.
 const minRetryAfter = time.Second
 
-// minFractionalRetryAfter is the shortest time in Retry-After when callers understand
-// fractions: about the duration of a short request, within which a slot becomes free.
+// minFractionalRetryAfter is the shortest mean time in Retry-After, before its jitter, when callers
+// understand fractions: about the duration of a short request, within which a slot becomes free.
 const minFractionalRetryAfter = 50 * time.Millisecond
 
+// leastFractionalRetryAfter is the shortest time in Retry-After when callers understand fractions.
+const leastFractionalRetryAfter = 5 * time.Millisecond
+
 // retryable reports whether sending the request again later can succeed.
 func (f *failure) retryable() bool {
 	status := f.reason.httpStatus()
@@ -114,7 +117,10 @@
 // retryAfter formats a time for the field Retry-After.
 func (c *Conventions) retryAfter(wait time.Duration) string {
 	if c.FractionalRetryAfter {
-		return strconv.FormatFloat(max(wait, minFractionalRetryAfter).Seconds(), 'f', 3, 64)
+		if wait == 0 {
+			wait = minFractionalRetryAfter // none is known
+		}
+		return strconv.FormatFloat(max(wait, leastFractionalRetryAfter).Seconds(), 'f', 3, 64)
 	}
 	seconds := int64((max(wait, minRetryAfter) + time.Second - 1) / time.Second)
 	return strconv.FormatInt(seconds, 10)
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -70,6 +70,7 @@
 	}
 	failed := c.dispatch()
 	c.recordNested(failed)
+	c.setReturnTime(failed)
 	if failed == nil {
 		return
 	}
--- a/mesh/entry/routing.go
+++ b/mesh/entry/routing.go
@@ -50,6 +50,7 @@
 type servicePlan struct {
 	*balance.Plan
 	budget   *retry.Budget
+	returns  *retry.Returns // of refused callers; belongs to the service as the budget does
 	revision uint64
 	split    *revision.Split
 	index    *balance.Index
@@ -189,10 +190,10 @@
 		halt:     (*r.halts.Load())[split.Service],
 	}
 	input := balance.PlanInput{Split: split, Index: next.index, Halted: next.halt.covers(split.Rollout)}
-	next.budget = r.newBudget()
+	next.budget, next.returns = r.newBudget(), &retry.Returns{}
 	if current != nil {
 		input.Previous = current.Plan
-		next.budget = current.budget
+		next.budget, next.returns = current.budget, current.returns
 	}
 	next.Plan = balance.NewPlan(input)
 	return next
