--- a/coord/nested/model_test.go
+++ b/coord/nested/model_test.go
@@ -338,7 +338,8 @@
 	if !m.throttle || r.kind.CallsPerRun == 0 {
 		return false
 	}
-	return t.throttle.Refuse("parent", m.random.Float64(), m.now)
+	refused, _ := t.throttle.Refuse("parent", m.random.Float64(), m.now)
+	return refused
 }
 
 func (m *model) refuse(s *service, t *target, r *request) {
--- a/coord/nested/parents.go
+++ b/coord/nested/parents.go
@@ -1,6 +1,8 @@
 package nested
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -136,3 +138,10 @@
 	}
 	return running
 }
+
+// Routes returns the routes that have run at targets of this host.
+func (p *Parents) Routes() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.routes))
+}
--- a/coord/nested/routes.go
+++ b/coord/nested/routes.go
@@ -24,6 +24,7 @@
 	nested, outside agedCount
 	calls           float64 // nested requests of a run, by the latest reports
 	callsAt         time.Time
+	believed        bool // by the latest report
 }
 
 // NewRoutes returns a Routes without reports.
@@ -32,14 +33,15 @@
 // callsWeight is the weight of one report in the number of nested requests of a run.
 const callsWeight = 0.25
 
-// Observe records the report of an exit about a route.
-func (r *Routes) Observe(route string, nested bool, callsPerRun float64, now time.Time) {
+// Observe records the report of an exit about a route. It reports whether the requests of the route
+// count as nested from now on though they did not before, or no longer do.
+func (r *Routes) Observe(route string, nested bool, callsPerRun float64, now time.Time) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reports := r.routes[route]
 	if reports == nil {
 		if len(r.routes) >= maxRoutes {
-			return
+			return false
 		}
 		reports = &routeReports{}
 		r.routes[route] = reports
@@ -51,6 +53,9 @@
 	}
 	reports.calls += (callsPerRun - reports.calls) * callsWeight
 	reports.callsAt = now
+	before := reports.believed
+	reports.believed = reports.isNested(now)
+	return reports.believed != before
 }
 
 // Nested reports whether the requests that begin at this host on the route are nested: most of the
@@ -60,11 +65,12 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	reports := r.routes[route]
-	if reports == nil {
-		return false
-	}
-	nested := reports.nested.at(now, halfLife)
-	return nested >= minReports && nested > reports.outside.at(now, halfLife)
+	return reports != nil && reports.isNested(now)
+}
+
+func (r *routeReports) isNested(now time.Time) bool {
+	nested := r.nested.at(now, halfLife)
+	return nested >= minReports && nested > r.outside.at(now, halfLife)
 }
 
 // CallsPerRun returns how many nested requests a run of the route makes; 0 if it makes hardly any or
--- a/coord/nested/throttle.go
+++ b/coord/nested/throttle.go
@@ -23,6 +23,8 @@
 	// probeInterval is the time after which a request is let through in any case, so that a recovery
 	// is seen.
 	probeInterval = 250 * time.Millisecond
+	// episodePause is the time without refusals after which the next one is the first of others.
+	episodePause = 10 * time.Second
 )
 
 // Throttle decides on requests from outside whose runs mostly fail because the nested requests that
@@ -40,14 +42,15 @@
 	requests, successes agedCount // requests are those that ended or were refused here
 	lastPass            time.Time
 	refused             uint64
+	lastRefusal         time.Time
 }
 
 // NewThrottle returns a Throttle that lets everything through.
 func NewThrottle() *Throttle { return &Throttle{routes: make(map[string]*throttledRoute)} }
 
-// Refuse reports whether a request of the route is refused, and counts it in that case. The draw is
-// uniform from 0 up to 1.
-func (t *Throttle) Refuse(route string, draw float64, now time.Time) bool {
+// Refuse reports whether a request of the route is refused, and counts it in that case. It reports
+// too whether that is the first one after episodePause without any. The draw is uniform from 0 up to 1.
+func (t *Throttle) Refuse(route string, draw float64, now time.Time) (refuse, first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state := t.routes[route]
@@ -55,11 +58,13 @@
 		if state != nil {
 			state.lastPass = now
 		}
-		return false
+		return false, false
 	}
 	state.requests.add(1, now, throttleHalfLife)
 	state.refused++
-	return true
+	first = now.Sub(state.lastRefusal) >= episodePause
+	state.lastRefusal = now
+	return true, first
 }
 
 // Refused returns the number of requests that were refused, by route.
--- a/coord/nested/throttle_test.go
+++ b/coord/nested/throttle_test.go
@@ -20,14 +20,21 @@
 func TestThrottleRefusesOnlyForLackOfRoom(t *testing.T) {
 	is := is.New(t)
 	throttle := NewThrottle()
-	is.True(!throttle.Refuse("parent", 0.5, start))
+	check := func(route string, at time.Time, want, wantFirst bool) {
+		t.Helper()
+		got, first := throttle.Refuse(route, 0.5, at)
+		is.Equal(got, want)
+		is.Equal(first, wantFirst)
+	}
+	check("parent", start, false, false)
 	fail(throttle, 40, false, start)
-	is.True(!throttle.Refuse("parent", 0.5, start)) // the probe
-	is.True(!throttle.Refuse("parent", 0.5, start))
+	check("parent", start, false, false) // the probe
+	check("parent", start, false, false)
 	fail(throttle, 40, true, start)
-	is.True(throttle.Refuse("parent", 0.5, start))
-	is.True(!throttle.Refuse("other", 0.5, start))
+	check("parent", start, true, true)
 	is.Equal(throttle.Refused(), map[string]uint64{"parent": 1})
+	check("parent", start, true, false)
+	check("other", start, false, false)
 }
 
 // Guards against a route that stays refused because nothing is tried any more.
@@ -40,7 +47,7 @@
 	for i := range 4 * arrivals {
 		now := after(time.Duration(i) * time.Second / arrivals)
 		recovered := i >= arrivals
-		if throttle.Refuse("parent", float64(i%10)/10, now) {
+		if refused, _ := throttle.Refuse("parent", float64(i%10)/10, now); refused {
 			if i >= 3*arrivals {
 				refusedLate++
 			}
--- a/mesh/ctl/explain.go
+++ b/mesh/ctl/explain.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/subcommands"
 
+	"sassafrasnotch.example/mesh/entry"
 	"sassafrasnotch.example/mesh/explain"
 )
 
@@ -125,7 +126,20 @@
 	}
 	return fmt.Sprintf("request %s: %s at %s: outcome %v, status %v, reason %v, step %v, peer %v",
 		account.RequestID, end.Message, end.Host, orNotStated(end.Fields["outcome"]), orNotStated(end.Fields["status"]),
-		orNotStated(end.Fields["reason"]), orNotStated(end.Fields["step"]), orNotStated(end.Fields["peer"]))
+		orNotStated(end.Fields["reason"]), orNotStated(end.Fields["step"]), orNotStated(end.Fields["peer"])) + explanation(end)
+}
+
+// explanation states the cause of a reason that lies at another service than the one that was called,
+// and whom a failed request takes along.
+func explanation(end *explain.Line) string {
+	text := ""
+	if end.Fields["reason"] == string(entry.ReasonDependency) {
+		text += "\nthe requests that its run would make at other services are refused for lack of room: look at those services"
+	}
+	if end.Fields["nested"] == true {
+		text += "\na target made this request while it ran another one, which most likely failed with it"
+	}
+	return text
 }
 
 func orNotStated(value any) any {
--- a/mesh/ctl/explain_test.go
+++ b/mesh/ctl/explain_test.go
@@ -16,6 +16,7 @@
 func TestExplain(t *testing.T) {
 	name := filepath.Join(t.TempDir(), "a1.log")
 	log := `{"ts":100.5,"msg":"call not answered","host":"a1","request_id":"r1","peer":"b1","outcome":"refused","status":503,"reason":"overloaded","step":"await answer","queued":16}
+{"ts":120.5,"msg":"call not answered","host":"a1","request_id":"r3","peer":"b1","outcome":"refused","status":503,"reason":"dependency","nested":true}
 {"ts":100.6,"msg":"target removed","host":"a1","instance":"i-1"}
 not a line of a daemon
 `
@@ -32,7 +33,8 @@
 		}, []string{"a1.log: skipped 1 lines that are not from a daemon's log"}},
 		{"no time around it", []string{"-around", "0s", "r1", name}, ExitSuccess, []string{"queued=16"}, nil},
 		{"standard input", []string{"r1", "-"}, ExitSuccess, []string{"queued=16"}, nil},
-		{"unknown", []string{"r2", name}, ExitFailed, nil, []string{"no line names the request: r2 in 2 lines"}},
+		{"cause elsewhere", []string{"r3", name}, ExitSuccess, []string{"look at those services", "a target made this request"}, nil},
+		{"unknown", []string{"r2", name}, ExitFailed, nil, []string{"no line names the request: r2 in 3 lines"}},
 		{"no file", []string{"r1"}, ExitBadInput, nil, []string{"needs a request id and at least one file"}},
 		{"absent file", []string{"r1", name + ".gz"}, ExitBadInput, nil, []string{"a1.log.gz"}},
 	}
--- a/mesh/daemon/daemon.go
+++ b/mesh/daemon/daemon.go
@@ -53,7 +53,7 @@
 		hostsModule,
 		updatesModule,
 		fx.Provide(newReloader, newPorts, newBudget),
-		fx.Invoke(setRuntime, registerMetrics, registerLifecycle),
+		fx.Invoke(setRuntime, registerMetrics, registerNestedMetrics, registerLifecycle),
 	}, options...)
 	return fx.New(all...)
 }
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -104,6 +104,7 @@
 	// keepAlivesDisabled is set from the start of a stop, while new requests are still served.
 	keepAlivesDisabled atomic.Bool
 	departedRequests   atomic.Uint64
+	nestedRequests     atomic.Uint64
 	// prefetches is the number of requests that were started early and whose responses are held.
 	prefetches atomic.Int64
 }
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -243,8 +243,7 @@
 		report.ServiceTime = times.Add(balance.Class{Service: e.request.service}, service)
 	}
 	e.endpoint.Observe(report, now)
-	calls := float64(load.GetNestedCallsPermille()) / 1000
-	e.request.entry.nestedRoutes.Observe(e.request.route.Name, load.GetNestedRoute(), calls, time.Now())
+	e.request.observeNested(load)
 }
 
 // recordSilence makes other requests avoid a host that fell silent while the request runs there.
--- a/mesh/entry/nested.go
+++ b/mesh/entry/nested.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/nested"
 	"sassafrasnotch.example/coord/retry"
+	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
 // serviceHosts is the number of hosts with a target, of each service and in total.
@@ -49,6 +52,9 @@
 	} else {
 		c.nested = c.hops > 1
 	}
+	if c.nested {
+		e.nestedRequests.Add(1)
+	}
 	c.kind = retry.Kind{Nested: c.nested, CallsPerRun: e.nestedRoutes.CallsPerRun(c.route.Name, now)}
 }
 
@@ -67,3 +73,15 @@
 	}
 	return f.byAdmission || f.reason == ReasonExpired || f.reason == ReasonDependency
 }
+
+// observeNested records what an exit reports about the route.
+func (c *callerRequest) observeNested(load *peerpb.Load) {
+	calls := float64(load.GetNestedCallsPermille()) / 1000
+	if c.entry.nestedRoutes.Observe(c.route.Name, load.GetNestedRoute(), calls, time.Now()) {
+		c.entry.deps.Log.Info("nested requests recognized or no longer recognized", zap.String("service", c.service),
+			zap.String("route", c.route.Name), zap.Bool("nested", load.GetNestedRoute()))
+	}
+}
+
+// NestedRequests returns the number of requests that were made by targets while they ran others.
+func (e *Entry) NestedRequests() uint64 { return e.nestedRequests.Load() }
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -204,6 +204,9 @@
 		zap.String("reason", string(failed.reason)),
 		zap.String("detail", failed.detail),
 	}
+	if c.nested {
+		fields = append(fields, zap.Bool("nested", true))
+	}
 	if failed.load != nil {
 		fields = append(fields, zap.Int32("outstanding", failed.load.GetOutstanding()),
 			zap.Int32("queued", failed.load.GetQueued()), zap.Int32("slots", failed.load.GetSlots()))
--- a/mesh/exit/nested.go
+++ b/mesh/exit/nested.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
 	"sassafrasnotch.example/coord/nested"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
@@ -44,9 +46,18 @@
 // requests of such runs are refused for lack of room at another service.
 func (c *callerRequest) refuseDependent(now time.Time) *refusal {
 	parents := c.exit.parents
-	if c.head.Nested || parents.CallsPerRun(c.head.Route, now) == 0 || !parents.Throttle.Refuse(c.head.Route, rand.Float64(), now) {
+	if c.head.Nested || parents.CallsPerRun(c.head.Route, now) == 0 {
+		return nil
+	}
+	refused, first := parents.Throttle.Refuse(c.head.Route, rand.Float64(), now)
+	if !refused {
 		return nil
 	}
+	if first {
+		c.exit.log.Warn("refusing requests whose runs depend on a service without room",
+			zap.String("service", c.head.Service), zap.String("route", c.head.Route),
+			zap.Float64("refused", parents.Throttle.RefusalRate(c.head.Route, now)))
+	}
 	return &refusal{
 		reason:     peerpb.RefusalReason_REFUSAL_REASON_DEPENDENCY,
 		detail:     "the requests that the run would make at other services are refused for lack of room",
