Ask before the dispatch of requests that must not be repeated

A host that dies, freezes or is cut off while a request waits there left the entry without an outcome: 502 or 504 for requests that reached no target. A notice of the dispatch would be lost behind the cut just as well. With entry.confirmDispatch the host asks (CallReady) once the request holds a slot, and dispatches only when the entry allows it (CallGo); an entry that has not allowed it knows that the request does not run, and sends it elsewhere. Only requests that must not be repeated and whose body is whole are asked for, and only at hosts whose Hello says that they can.

Off by default: it costs these requests a round trip between the hosts, and its effect on a deployment is not measured.

The fakes of mesh/entry have one method more. The event queue of the model has a file of its own.

--- a/coord/nested/model_test.go
+++ b/coord/nested/model_test.go
@@ -103,26 +103,6 @@
 	failed
 )
 
-type event struct {
-	at       time.Time
-	sequence uint64
-	run      func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].sequence < e[j].sequence
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 func (m *model) after(delay time.Duration, run func()) {
 	m.sequence++
 	heap.Push(&m.events, event{m.now.Add(delay), m.sequence, run})
--- a/mesh/entry/bench_test.go
+++ b/mesh/entry/bench_test.go
@@ -32,6 +32,8 @@
 
 func (*immediateStream) KeepThroughSilence(func()) {}
 
+func (*immediateStream) ConfirmsDispatch() bool { return false }
+
 func (*immediateStream) SetDeadline(time.Time) error { return nil }
 func (*immediateStream) Release()                    {}
 func (*immediateStream) Discard()                    {}
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -39,6 +39,8 @@
 	// KeepThroughSilence makes the exchange last to the deadline though the host falls silent,
 	// which the function then learns. It applies to the request sent last.
 	KeepThroughSilence(onSilence func())
+	// ConfirmsDispatch reports whether the host honours CallHead.Confirm.
+	ConfirmsDispatch() bool
 	// Release returns the stream for another request, Discard closes it.
 	Release()
 	Discard()
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -41,6 +41,8 @@
 	finished bool
 	// reportedByHost means that the host reported the outcome of the request.
 	reportedByHost bool
+	// unconfirmed means that the host dispatches the request only after a frame that was not sent yet.
+	unconfirmed bool
 	// truncated means that the response broke off after its head was sent to the caller.
 	truncated bool
 }
@@ -60,15 +62,17 @@
 		stream.Release()
 		return refused(ReasonExpired, stepSend, "the caller has closed its connection").withPeer(e.endpoint.Host)
 	}
-	_ = stream.SetDeadline(e.request.deadline.Add(responseGrace))
+	e.unconfirmed = e.asksBeforeDispatch()
+	_ = stream.SetDeadline(e.answerDeadline())
 	stopInterrupt := context.AfterFunc(e.request.ctx, func() { interrupt(stream) })
 	defer func() { e.close(stopInterrupt()) }()
 	if err := stream.Send(e.requestHead()); err != nil {
+		if e.unconfirmed {
+			return e.unconfirmedFailure(err)
+		}
 		return unknown(e.lossReason(), stepSend, err.Error()).withPeer(e.endpoint.Host)
 	}
-	if e.request.route.Repeat == revision.RepeatNever {
-		stream.KeepThroughSilence(e.recordSilence)
-	}
+	e.keepThroughSilence()
 	e.upload = e.request.startUpload(stream, e.attempt)
 	return e.awaitResponse()
 }
@@ -108,6 +112,7 @@
 	head.Revision = c.snapshot.Revision()
 	head.Hops = c.hops
 	head.Nested = c.nested
+	head.Confirm = e.unconfirmed
 	head.InlineBody = c.inlineBody
 	head.Complete = c.bodyComplete
 	if e.offer.Bounded {
@@ -162,6 +167,8 @@
 		return unknown(ReasonInvalidResponse, stepAwait, "received a frame of another attempt").withPeer(e.endpoint.Host)
 	}
 	switch body := frame.GetBody().(type) {
+	case *peerpb.CallFrame_Ready:
+		return e.confirmDispatch()
 	case *peerpb.CallFrame_Answer:
 		return e.relayResponse(body.Answer)
 	case *peerpb.CallFrame_Refusal:
@@ -173,6 +180,9 @@
 }
 
 func (e *exchange) receiveFailure(err error) *failure {
+	if e.unconfirmed {
+		return e.unconfirmedFailure(err)
+	}
 	if e.upload != nil && e.request.cancelled() {
 		// net/http cancels the request when a read of its body fails, also at the deadline. The upload
 		// learns why.
--- a/mesh/entry/fixture_test.go
+++ b/mesh/entry/fixture_test.go
@@ -32,6 +32,7 @@
 	reader    *bufio.Reader
 	released  atomic.Bool
 	discarded atomic.Bool
+	confirms  bool // see Stream.ConfirmsDispatch
 }
 
 func newPipeStream(conn net.Conn) *pipeStream {
@@ -49,6 +50,8 @@
 
 func (s *pipeStream) KeepThroughSilence(func()) {}
 
+func (s *pipeStream) ConfirmsDispatch() bool { return s.confirms }
+
 func (s *pipeStream) Release() {
 	s.released.Store(true)
 	_ = s.Close()
@@ -66,6 +69,7 @@
 type fakeHosts struct {
 	mutex   sync.Mutex
 	hosts   map[string]hostHandler // nil for an unreachable host
+	confirm bool                   // the hosts honour CallHead.Confirm
 	heads   []*peerpb.CallHead
 	streams []*pipeStream
 	running sync.WaitGroup
@@ -80,6 +84,7 @@
 	}
 	near, far := net.Pipe()
 	stream := newPipeStream(near)
+	stream.confirms = f.confirm
 	f.streams = append(f.streams, stream)
 	f.running.Go(func() { f.serve(newPipeStream(far), serve) })
 	return stream, nil
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -142,6 +142,13 @@
 		}
 		return c.sendRefusal(refusal) && c.body.fullyRead()
 	}
+	if refusal := c.confirm(); refusal != nil {
+		e.releaseUnused(c)
+		e.endInFlight()
+		e.outcomes.addRefused(c.outcomeKey())
+		c.sendRefusal(refusal)
+		return false // the frame that allows the dispatch may still come
+	}
 	started := time.Now()
 	c.beginRun(started)
 	result := c.dispatch()
--- a/mesh/peer/doc.go
+++ b/mesh/peer/doc.go
@@ -31,6 +31,7 @@
 		Zone:        i.Zone,
 		Incarnation: i.Incarnation,
 
-		AnswersChecks: true,
+		AnswersChecks:    true,
+		ConfirmsDispatch: true,
 	}
 }
--- a/mesh/peer/stream.go
+++ b/mesh/peer/stream.go
@@ -41,7 +41,9 @@
 	idleSince time.Time // when released
 	// answersChecks is set on the dialing side if the other end answers checks; see check.
 	answersChecks bool
-	watchDone     chan struct{} // closed at the end of the goroutine of WatchClose; nil if there is none
+	// confirmsDispatch is set on the dialing side if the other end can ask before it dispatches.
+	confirmsDispatch bool
+	watchDone        chan struct{} // closed at the end of the goroutine of WatchClose; nil if there is none
 
 	deadlineMu sync.Mutex
 	deadline   time.Time // set by SetDeadline
@@ -82,6 +84,10 @@
 // Peer returns the identity of the daemon at the other end.
 func (s *Stream) Peer() Identity { return s.remote }
 
+// ConfirmsDispatch reports whether the other end, another host, honours CallHead.Confirm. Daemons of older
+// releases don't, and on the own host nothing can be lost on the way.
+func (s *Stream) ConfirmsDispatch() bool { return s.confirmsDispatch }
+
 // Send writes the frame in a single write. On the accepting side it sets the frame's attempt to the
 // one in flight. On the dialing side a head frame starts an attempt. If the connection took no byte
 // of the head frame, Send returns nil and drops the frames of the request, and Receive returns a
--- a/mesh/peer/streampool.go
+++ b/mesh/peer/streampool.go
@@ -132,7 +132,7 @@
 		return nil, err
 	}
 	s := newStream(conn, identityOf(hello), true, p.parent.settings.Keepalive.Std(), &p.parent.controlBytes)
-	s.pool, s.answersChecks = p, hello.AnswersChecks
+	s.pool, s.answersChecks, s.confirmsDispatch = p, hello.AnswersChecks, hello.ConfirmsDispatch
 	return s, nil
 }
 
--- a/mesh/settings/settings.go
+++ b/mesh/settings/settings.go
@@ -79,6 +79,9 @@
 	// LameDuck is the time for which a stopping daemon continues to serve new requests, so that
 	// callers can choose another daemon; with 0 it refuses new requests at once.
 	LameDuck revision.Duration `json:"lameDuck" validate:"min=0"`
+	// ConfirmDispatch makes other hosts ask before they dispatch a request that must not be repeated, so
+	// that one that is lost before is known not to have run.
+	ConfirmDispatch bool `json:"confirmDispatch"`
 	// Retry bounds retries of requests.
 	Retry Retry `json:"retry"`
 }
