Let the hosts of the platform ask before the dispatch

Sets entry.confirmDispatch in the template and plays the faults of TestDispatchUnderFaultsOnThePlatform with it for kills, resets and dropped traffic. The test logs how many answers 502 and 504 were given for requests that reached no worker; its checks are unchanged and apply to the new rows too.

--- a/integration/platform_dispatch_test.go
+++ b/integration/platform_dispatch_test.go
@@ -7,6 +7,7 @@
 
 	"sassafrasnotch.example/integration/cluster"
 	"sassafrasnotch.example/integration/faultproxy"
+	"sassafrasnotch.example/mesh/settings"
 )
 
 // dispatchCallers is the number of callers; each sends one unsafe request after the other.
@@ -16,34 +17,42 @@
 // flight. It checks that no request runs twice, and that no caller gets a response which states that
 // a request was not executed if it was.
 func TestDispatchUnderFaultsOnThePlatform(t *testing.T) {
+	ask := []func(*settings.Settings){func(s *settings.Settings) { s.Entry.ConfirmDispatch = true }}
+	kill := func(_ *platformCluster, d *cluster.Daemon) { d.Restart() }
+	reset := func(p *platformCluster, _ *cluster.Daemon) {
+		p.Network.SetFault(faultproxy.AnyHost, faultproxy.AnyHost, faultproxy.Fault{Reset: true})
+		time.Sleep(100 * time.Millisecond)
+		p.Network.ClearFaults()
+	}
+	drop := func(p *platformCluster, d *cluster.Daemon) {
+		p.Network.BlackholeOpenConnections(faultproxy.AnyHost, d.Settings.Host)
+		time.Sleep(700 * time.Millisecond)
+	}
 	for _, c := range []struct {
 		name   string
+		adjust []func(*settings.Settings)
 		inject func(p *platformCluster, d *cluster.Daemon)
 	}{
-		{"daemons on the workers' hosts are killed", func(_ *platformCluster, d *cluster.Daemon) { d.Restart() }},
-		{"daemons on the workers' hosts are paused", func(_ *platformCluster, d *cluster.Daemon) {
+		{"daemons on the workers' hosts are killed", nil, kill},
+		{"daemons on the workers' hosts are paused", nil, func(_ *platformCluster, d *cluster.Daemon) {
 			d.Pause()
 			time.Sleep(700 * time.Millisecond)
 			d.Resume()
 		}},
-		{"connections between daemons are reset", func(p *platformCluster, _ *cluster.Daemon) {
-			p.Network.SetFault(faultproxy.AnyHost, faultproxy.AnyHost, faultproxy.Fault{Reset: true})
-			time.Sleep(100 * time.Millisecond)
-			p.Network.ClearFaults()
-		}},
-		{"daemons are partitioned", func(p *platformCluster, d *cluster.Daemon) {
+		{"connections between daemons are reset", nil, reset},
+		{"daemons are partitioned", nil, func(p *platformCluster, d *cluster.Daemon) {
 			p.Network.Partition([]string{d.Settings.Host}, []string{faultproxy.AnyHost})
 			time.Sleep(700 * time.Millisecond)
 			p.Network.ClearFaults()
 		}},
-		{"traffic on open connections is dropped", func(p *platformCluster, d *cluster.Daemon) {
-			p.Network.BlackholeOpenConnections(faultproxy.AnyHost, d.Settings.Host)
-			time.Sleep(700 * time.Millisecond)
-		}},
+		{"traffic on open connections is dropped", nil, drop},
+		{"daemons that ask are killed", ask, kill},
+		{"connections between daemons that ask are reset", ask, reset},
+		{"traffic on open connections of daemons that ask is dropped", ask, drop},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			p := startPlatformCluster(t)
+			p := startPlatformCluster(t, c.adjust...)
 			load := p.startTraffic(dispatchCallers)
 			for range 2 {
 				for _, d := range p.Daemons {
@@ -77,7 +86,7 @@
 			ran[run.RequestID]++
 		}
 	}
-	succeeded, refused, unknown := 0, 0, 0
+	succeeded, refused, unknown, unrun := 0, 0, 0, 0
 	for _, a := range results {
 		switch times := ran[a.id]; {
 		case times > 1:
@@ -94,9 +103,12 @@
 			refused++
 		default:
 			unknown++
+			if a.err == nil && ran[a.id] == 0 {
+				unrun++
+			}
 		}
 	}
-	p.t.Logf("%d answered, %d refused, %d unknown", succeeded, refused, unknown)
+	p.t.Logf("%d answered, %d refused, %d unknown, of which %d had a response and reached no worker", succeeded, refused, unknown, unrun)
 	if succeeded < len(results)/2 {
 		p.t.Errorf("only %d of %d requests got a success, want at least half", succeeded, len(results))
 	}
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"sassafrasnotch.example/integration/cluster"
+	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/standin/platformserver"
 	"sassafrasnotch.example/mesh/standin/workerserver"
 	"sassafrasnotch.example/platform/wire"
@@ -40,7 +41,7 @@
 	client  *http.Client
 }
 
-func startPlatformCluster(t *testing.T) *platformCluster {
+func startPlatformCluster(t *testing.T, adjust ...func(*settings.Settings)) *platformCluster {
 	t.Helper()
 	p := &platformCluster{t: t, workers: make(map[string]*workerserver.Worker), client: &http.Client{Transport: &http.Transport{
 		DisableCompression: true, MaxIdleConnsPerHost: 64,
@@ -51,7 +52,12 @@
 		}
 		return "studio"
 	}
-	p.Cluster = cluster.Start(t, cluster.Options{Zones: 3, HostsPerZone: 2, Adjust: cluster.PlatformSettings(service)})
+	p.Cluster = cluster.Start(t, cluster.Options{Zones: 3, HostsPerZone: 2, Adjust: func(s *settings.Settings) {
+		cluster.PlatformSettings(service)(s)
+		for _, change := range adjust {
+			change(s)
+		}
+	}})
 	for _, d := range p.Daemons {
 		p.workers[d.Settings.Host] = d.StartWorker("i-"+d.Settings.Host, "v1", nil)
 	}
