--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -25,6 +25,7 @@
 	"sassafrasnotch.example/coord/apikey"
 	"sassafrasnotch.example/coord/balance"
 	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/coord/nested"
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 	"sassafrasnotch.example/mesh/settings"
@@ -39,6 +40,8 @@
 	// KeepThroughSilence makes the exchange last to the deadline though the host falls silent,
 	// which the function then learns. It applies to the request sent last.
 	KeepThroughSilence(onSilence func())
+	// ConfirmsDispatch reports whether the host honours CallHead.Confirm.
+	ConfirmsDispatch() bool
 	// Release returns the stream for another request, Discard closes it.
 	Release()
 	Discard()
@@ -89,6 +92,9 @@
 	// Service is the origin service: the service of this host, which targets receive as the origin
 	// of the requests that this entry sends, if Conventions.OriginHeader is set.
 	Service string
+	// Parents records the nested requests that arrive for what runs at the targets of this host; nil
+	// if nothing is recorded.
+	Parents *nested.Parents
 	// NewVersionHold is how long a version that appears at a service is pending: it receives no
 	// requests unless the configuration names it. 0 disables the hold.
 	NewVersionHold time.Duration
@@ -103,6 +109,7 @@
 	self          balance.Locality
 	deps          Deps
 	routing       *routing
+	nestedRoutes  *nested.Routes
 	startedAt     time.Time
 	lastAttemptID atomic.Uint64
 	leaving       atomic.Bool
@@ -113,6 +120,7 @@
 	// keepAlivesDisabled is set from the start of a stop, while new requests are still served.
 	keepAlivesDisabled atomic.Bool
 	departedRequests   atomic.Uint64
+	nestedRequests     atomic.Uint64
 	// prefetches is the number of requests that were started early and whose responses are held.
 	prefetches atomic.Int64
 }
@@ -128,6 +136,9 @@
 	if deps.Conventions == nil {
 		deps.Conventions = &DefaultConventions
 	}
+	if deps.Parents == nil {
+		deps.Parents = nested.NewParents()
+	}
 	if deps.Log == nil {
 		deps.Log = zap.NewNop()
 	}
@@ -137,6 +148,8 @@
 		deps:      deps,
 		routing:   newRouting(self, settings.Retry, deps.NewVersionHold),
 		startedAt: time.Now(),
+
+		nestedRoutes: nested.NewRoutes(),
 	}
 	entry.service.Store(&deps.Service)
 	entry.SetKeyRules(deps.KeyRules)
--- a/mesh/entry/reason.go
+++ b/mesh/entry/reason.go
@@ -57,6 +57,9 @@
 	// ReasonKeysOutdated means that this daemon can't decide on the request's API key, because its copy
 	// of the configuration may lack changes of the keys.
 	ReasonKeysOutdated Reason = "keys-outdated"
+	// ReasonDependency means that the requests that a run makes at other services are refused, so that
+	// most runs fail. It is a matter of the services, so no other host is tried.
+	ReasonDependency Reason = "dependency"
 	// ReasonUnspecified means that a peer refused the request for a reason that is unknown to
 	// this daemon.
 	ReasonUnspecified Reason = "unspecified"
@@ -99,6 +102,7 @@
 	peerpb.RefusalReason_REFUSAL_REASON_CLAIMED:        ReasonClaimed,
 	peerpb.RefusalReason_REFUSAL_REASON_PLATFORM_DOWN:  ReasonStoreUnavailable,
 	peerpb.RefusalReason_REFUSAL_REASON_LIMIT:          ReasonLimit,
+	peerpb.RefusalReason_REFUSAL_REASON_DEPENDENCY:     ReasonDependency,
 }
 
 // refusalReason converts the reason of a peer, which may be newer than this daemon.
@@ -148,6 +152,12 @@
 	return false
 }
 
+// isFinal reports whether no other host can do better: the request is refused on every host, or too
+// little time is left.
+func (r Reason) isFinal() bool {
+	return r == ReasonQuarantined || r == ReasonDependency || r == ReasonExpired
+}
+
 // causedByCaller reports whether the caller caused the reason.
 func (r Reason) causedByCaller() bool {
 	switch r {
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -28,8 +28,12 @@
 	tenant    *revision.Tenant // whose API key the request carries; nil if none
 	service   string           // of the route, or drawn from the route's split
 	hops      uint32
-	startedAt time.Time
-	deadline  time.Time
+	nested    bool // see detectNested
+	// parentHere means that the request is made by a target of this host.
+	parentHere bool
+	kind       retry.Kind
+	startedAt  time.Time
+	deadline   time.Time
 	// deadlineFromCaller means that the caller requested a shorter timeout than that of the route,
 	// or than the default of the settings for a route without one.
 	deadlineFromCaller bool
@@ -57,6 +61,7 @@
 func (c *callerRequest) serve() {
 	c.ctx = c.dispatchContext()
 	c.headers = requestHeaders(c)
+	c.detectNested()
 	if failed := c.acquireClaim(); failed != nil {
 		c.writeFailure(failed)
 		return
@@ -66,6 +71,8 @@
 		return
 	}
 	failed := c.dispatch()
+	c.recordNested(failed)
+	c.setReturnTime(failed)
 	if failed == nil {
 		return
 	}
@@ -80,7 +87,7 @@
 	if plan == nil {
 		return refused(ReasonNoTarget, stepBalance, "service "+c.service+" has no split")
 	}
-	plan.budget.Deposit()
+	plan.budget.Deposit(c.kind)
 	choice := c.withinRegions(plan.Choose(c.entry.deps.Random))
 	if choice == nil {
 		return c.noTarget()
@@ -155,11 +162,13 @@
 	if withoutTarget {
 		c.attemptsWithoutTarget++
 	}
-	if failed.reason == ReasonQuarantined || c.cancelled() {
+	if failed.reason.isFinal() || c.cancelled() {
 		return false
 	}
 	decision := retry.Decide(retry.History{
 		Outcome:      failed.outcome,
+		Kind:         c.kind,
+		ParentEnded:  c.parentHere && c.entry.deps.Parents.Running() == 0,
 		Repeat:       c.route.Repeat,
 		Replayable:   !c.uploading,
 		Attempts:     len(c.triedHosts),
--- a/mesh/entry/routing.go
+++ b/mesh/entry/routing.go
@@ -24,7 +24,8 @@
 	plans         atomic.Pointer[map[string]*servicePlan]
 	serviceTimes  balance.ServiceTimes
 	// mutex serializes changes to the fields above.
-	mutex sync.Mutex
+	mutex          sync.Mutex
+	hostsByService atomic.Pointer[serviceHosts]
 	// The fields below are guarded by mutex.
 	members         []gossip.Member
 	evacuated       []string // zones whose endpoints receive no requests
@@ -50,6 +51,7 @@
 type servicePlan struct {
 	*balance.Plan
 	budget   *retry.Budget
+	returns  *retry.Returns // of refused callers; belongs to the service as the budget does
 	revision uint64
 	split    *revision.Split
 	index    *balance.Index
@@ -63,6 +65,7 @@
 	r.index.Store(balance.NewIndex(self, nil, nil))
 	r.halts.Store(&map[string]halt{})
 	r.plans.Store(&map[string]*servicePlan{})
+	r.hostsByService.Store(&serviceHosts{})
 	return r
 }
 
@@ -70,6 +73,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.members = members
+	r.hostsByService.Store(countServiceHosts(members))
 	r.index.Store(r.newIndex())
 	r.applyLimits()
 }
@@ -108,7 +112,7 @@
 // limits returns the retry limits of this daemon, with its part of the reserve that all
 // daemons share if there is one. The caller holds mutex.
 func (r *routing) limits() retry.Limits {
-	limits := retry.Limits{Share: r.retrySettings.Share, Reserve: r.retrySettings.Reserve}
+	limits := retry.Limits{Shares: retry.SharesOf(r.retrySettings.Share, r.retrySettings.NestedShare), Reserve: r.retrySettings.Reserve}
 	if r.retrySettings.FleetReserve > 0 {
 		// Members that appear dead count too: they may serve on the other side of a network
 		// partition, and the sum over all daemons has to stay bounded.
@@ -187,10 +191,10 @@
 		halt:     (*r.halts.Load())[split.Service],
 	}
 	input := balance.PlanInput{Split: split, Index: next.index, Halted: next.halt.covers(split.Rollout)}
-	next.budget = r.newBudget()
+	next.budget, next.returns = r.newBudget(), &retry.Returns{}
 	if current != nil {
 		input.Previous = current.Plan
-		next.budget = current.budget
+		next.budget, next.returns = current.budget, current.returns
 	}
 	next.Plan = balance.NewPlan(input)
 	return next
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -27,6 +27,9 @@
 	if c.pathErr != nil {
 		return &refusal{reason: peerpb.RefusalReason_REFUSAL_REASON_LIMIT, detail: c.pathErr.Error()}
 	}
+	if refused := c.refuseDependent(time.Now()); refused != nil {
+		return refused
+	}
 	decision, refused := c.exit.submit(c)
 	if refused != nil {
 		return refused
@@ -36,6 +39,8 @@
 		return nil
 	}
 	arrived := time.Now()
+	expired := time.NewTimer(time.Until(c.queueDeadline()))
+	defer expired.Stop()
 	select {
 	case action := <-decision:
 		refused := c.applyDecision(action)
@@ -43,9 +48,10 @@
 			c.exit.observeWait(c.head.Service, time.Since(arrived))
 		}
 		return refused
+	case <-expired.C:
 	case <-c.ctx.Done():
-		return c.exit.cancelWait(c, decision)
 	}
+	return c.exit.cancelWait(c, decision)
 }
 
 // submit submits the request to admission control. It returns a channel for the decision if the
@@ -61,7 +67,7 @@
 	c.target = t
 	e.lastAdmissionID++
 	c.admissionID = e.lastAdmissionID
-	request := admission.Request{ID: c.admissionID, Deadline: c.deadline, Priority: int(c.head.Priority), Class: c.head.Route}
+	request := admission.Request{ID: c.admissionID, Deadline: c.queueDeadline(), Priority: int(c.head.Priority), Class: c.head.Route}
 	if c.head.MaxWaitMicros != nil {
 		request.Draw = rand.Float64()
 		request.Bounded, request.MaxWait = true, time.Duration(c.head.GetMaxWaitMicros())*time.Microsecond
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -15,6 +15,7 @@
 	"sassafrasnotch.example/coord/departure"
 	"sassafrasnotch.example/coord/descriptors"
 	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/coord/nested"
 	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/peer/peerpb"
@@ -35,6 +36,8 @@
 	targetConns  *limitedconn.Limit
 	healthPath   func(service string) string
 	coldPolicy   func(service string) ColdPolicy
+	origins      *nested.Origins
+	parents      *nested.Parents
 	// departuresKnown means that no earlier process of this daemon has acknowledged departures.
 	departuresKnown bool
 
@@ -111,6 +114,8 @@
 		coldPolicy:   func(string) ColdPolicy { return ColdPolicy{Known: true} },
 		doubted:      make(map[string]time.Time),
 		onDeparture:  func() {},
+		origins:      nested.NewOrigins(),
+		parents:      nested.NewParents(),
 		outcomes:     newOutcomes(self.Zone),
 		targetConns:  &limitedconn.Limit{Budget: descriptors.Unlimited(), Part: descriptors.Targets},
 		targets:      make(map[string]*target),
@@ -147,9 +152,18 @@
 		}
 		return c.sendRefusal(refusal) && c.body.fullyRead()
 	}
+	if refusal := c.confirm(); refusal != nil {
+		e.releaseUnused(c)
+		e.endInFlight()
+		e.outcomes.addRefused(c.outcomeKey())
+		c.sendRefusal(refusal)
+		return false // the frame that allows the dispatch may still come
+	}
 	started := time.Now()
+	c.beginRun(started)
 	result := c.dispatch()
 	elapsed := time.Since(started)
+	c.endRun(result, elapsed)
 	e.release(c, result, elapsed)
 	c.countOutcome(result, elapsed)
 	return (result.kind == responded || result.refusalSent) && c.body.fullyRead()
