Order a target's queue by priority, nesting and fair shares of tenants

A queue in order of arrival gives a tenant that sends ten times its usual requests ten times its share of the slots, and the others wait behind it. The objective began anew at each host, so that a request that had lost time elsewhere was queued as a fresh one.

coord/admission orders by priority, then nested requests, then start-time fair queueing by tenant with the estimated service time as cost. A full queue sheds its last request: of the lowest priority, and of the tenant furthest ahead of its share. Requests without a tenant are one flow, in order of arrival as before. The entry states the time left of the objective since the arrival, and the exit uses it in place of the whole objective.

Measured: tests of coord/admission, coord/balance, mesh/exit and mesh/entry pass.

--- a/coord/admission/rate.go
+++ b/coord/admission/rate.go
@@ -42,7 +42,8 @@
 }
 
 // run counts a request that is sent to the target.
-func (t *Target) run(now time.Time) {
+func (t *Target) run(r Request, now time.Time) {
 	t.outstanding++
+	t.flows.run(r.Tenant, t.cost(r.Class))
 	t.pacer.take(now)
 }
--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -1,8 +1,8 @@
 // Package admission decides which requests a target runs, which wait in its queue and
 // which are refused. A target never has more requests outstanding than slots; a short
 // queue, bounded by its length and by the deadlines of the requests in it, absorbs bursts.
-// Under overload, requests of higher priority (such as those on which another service
-// waits) run first, and the queueing delay is estimated from the service times of the
+// Under overload, requests of higher priority run first, among equals those on which another
+// service waits, then those of each tenant in turn (see flows), and the queueing delay is estimated from the service times of the
 // classes in the queue, so that short requests are not refused because others are long.
 // Bounding the work in front of each target keeps the queue where requests can still be
 // refused. A target may name a rate besides: it then gets no more requests per second, and the
@@ -41,6 +41,12 @@
 	// Priority orders the queue: a request of higher priority runs first and is shed
 	// last.
 	Priority int
+	// Nested means that another target waits for the response while it runs a request of its own. Of
+	// equal priority nested requests run first, since the work of the waiting target is lost otherwise.
+	Nested bool
+	// Tenant is the customer for whom the request runs. The slots are shared fairly among the tenants
+	// that have requests of equal rank; the empty tenant is one as any other.
+	Tenant string
 	// Class groups requests of similar service time, such as those of one route.
 	Class string
 	// Bounded means that the request is refused at once unless a slot is free or the estimated
@@ -105,8 +111,10 @@
 	started     time.Time
 	leaving     bool
 	outstanding int
-	queue       []Request // by priority, then in order of arrival
-	service     ewma      // service time over all classes
+	queue       []queuedRequest // in the order in which they run; see order
+	arrivals    uint64
+	flows       flows
+	service     ewma // service time over all classes
 	classes     map[string]*serviceEstimate
 	failures    failureRate
 	pacer       pacer
@@ -174,33 +182,38 @@
 	case r.Bounded && r.Draw < t.FailureRate(now):
 		return refusal(r, Overloaded), nil
 	case t.Available(now):
-		t.run(now)
+		t.run(r, now)
 		return Action{ID: r.ID, Verdict: Run}, nil
-	}
-	position := t.position(r)
-	if r.Bounded && (r.MaxWait <= 0 || t.queueDelay(position, now) > r.MaxWait) {
+	case r.Bounded && r.MaxWait <= 0:
 		return refusal(r, Overloaded), nil
 	}
-	if t.missesDeadline(r, position, now) || position >= t.minBacklog(now) && t.missesSoftDeadline(r, position, now) {
-		return refusal(r, Overloaded), nil
+	position := t.insert(r, now)
+	if t.refuses(r, position, now) {
+		return t.shed(position), nil
+	}
+	return t.boundQueue(r, position, now)
+}
+
+// refuses reports whether a request waits too long at a position.
+func (t *Target) refuses(r Request, position int, now time.Time) bool {
+	if r.Bounded && t.queueDelay(position, now) > r.MaxWait {
+		return true
 	}
-	return t.enqueue(r, position, now)
+	return t.missesDeadline(r, position, now) || position >= t.minBacklog(now) && t.missesSoftDeadline(r, position, now)
 }
 
-// enqueue inserts the request behind those of equal or higher priority, and sheds those
-// behind it that would now miss their deadlines. When the queue is full, the latest
-// request of the lowest priority, which may be r, is refused.
-func (t *Target) enqueue(r Request, position int, now time.Time) (Action, []Action) {
+// boundQueue sheds requests after r was inserted at a position: the last one if the queue is too long,
+// which may be r, and those behind r that would now miss their deadlines. The last one is of the lowest
+// priority, and among equals of the tenant with the most work ahead of its share.
+func (t *Target) boundQueue(r Request, position int, now time.Time) (Action, []Action) {
 	var shed []Action
-	if len(t.queue) >= t.config.QueueLength {
-		last := len(t.queue) - 1
-		if position > last {
-			return refusal(r, Overloaded), nil
+	if last := len(t.queue) - 1; last >= t.config.QueueLength {
+		refused := t.shed(last)
+		if position == last {
+			return refused, nil
 		}
-		shed = append(shed, refusal(t.queue[last], Overloaded))
-		t.queue = t.queue[:last]
+		shed = append(shed, refused)
 	}
-	t.queue = slices.Insert(t.queue, position, r)
 	return Action{ID: r.ID, Verdict: Wait}, append(shed, t.shedLate(position+1, now)...)
 }
 
@@ -209,25 +222,15 @@
 func (t *Target) shedLate(from int, now time.Time) []Action {
 	var shed []Action
 	for i := from; i < len(t.queue); {
-		if !t.missesDeadline(t.queue[i], i, now) {
+		if !t.missesDeadline(t.queue[i].Request, i, now) {
 			i++
 			continue
 		}
-		shed = append(shed, refusal(t.queue[i], Overloaded))
-		t.queue = slices.Delete(t.queue, i, i+1)
+		shed = append(shed, t.shed(i))
 	}
 	return shed
 }
 
-// position returns the index in the queue at which a new request is inserted.
-func (t *Target) position(r Request) int {
-	position := len(t.queue)
-	for position > 0 && t.queue[position-1].Priority < r.Priority {
-		position--
-	}
-	return position
-}
-
 // missesDeadline reports whether a request with ahead others before it is expected to
 // complete after its deadline.
 func (t *Target) missesDeadline(r Request, ahead int, now time.Time) bool {
@@ -340,30 +343,31 @@
 // NextRun.
 func (t *Target) Tick(now time.Time) []Action {
 	var actions []Action
-	for len(t.queue) > 0 {
-		first := t.queue[0]
-		expired := !now.Before(first.Deadline)
-		if !expired && !t.mayRun(now) {
-			break
-		}
-		t.queue = slices.Delete(t.queue, 0, 1)
-		if expired {
-			actions = append(actions, refusal(first, Expired))
+	for i := 0; i < len(t.queue); {
+		if now.Before(t.queue[i].Deadline) {
+			i++
 			continue
 		}
-		t.run(now)
-		actions = append(actions, Action{ID: first.ID, Verdict: Run})
+		actions = append(actions, refusal(t.remove(i), Expired))
+	}
+	t.order(now)
+	for len(t.queue) > 0 && t.mayRun(now) {
+		t.run(t.queue[0].Request, now)
+		actions = append(actions, Action{ID: t.remove(0).ID, Verdict: Run})
+	}
+	if t.outstanding == 0 && len(t.queue) == 0 {
+		t.flows.reset()
 	}
 	return actions
 }
 
 // Cancel removes a request from the queue and reports whether it was queued.
 func (t *Target) Cancel(id uint64) bool {
-	i := slices.IndexFunc(t.queue, func(r Request) bool { return r.ID == id })
+	i := slices.IndexFunc(t.queue, func(q queuedRequest) bool { return q.ID == id })
 	if i < 0 {
 		return false
 	}
-	t.queue = slices.Delete(t.queue, i, i+1)
+	t.remove(i)
 	return true
 }
 
@@ -372,8 +376,8 @@
 func (t *Target) Leave() []Action {
 	t.leaving = true
 	actions := make([]Action, 0, len(t.queue))
-	for _, r := range t.queue {
-		actions = append(actions, refusal(r, Leaving))
+	for _, q := range t.queue {
+		actions = append(actions, refusal(q.Request, Leaving))
 	}
 	t.queue = nil
 	return actions
--- a/mesh/entry/exchange.go
+++ b/mesh/entry/exchange.go
@@ -109,6 +109,7 @@
 	head.Hops = c.hops
 	head.InlineBody = c.inlineBody
 	head.Complete = c.bodyComplete
+	head.ObjectiveMicros = c.objectiveLeft().Microseconds()
 	if e.offer.Bounded {
 		e.maxWait = e.offer.MaxWait.Microseconds()
 		head.MaxWaitMicros = &e.maxWait
@@ -119,6 +120,15 @@
 	return &e.firstFrame.frame
 }
 
+// objectiveLeft returns the time until the route's latency objective has passed since the arrival of the
+// request, at least a microsecond: 0 means that the route has no objective.
+func (c *callerRequest) objectiveLeft() time.Duration {
+	if c.route.Objective <= 0 {
+		return 0
+	}
+	return max(c.route.Objective.Std()-time.Since(c.startedAt), time.Microsecond)
+}
+
 // requestFrame is the first frame of a request. It is part of the exchange to save
 // allocations.
 type requestFrame struct {
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -61,12 +61,15 @@
 	c.target = t
 	e.lastAdmissionID++
 	c.admissionID = e.lastAdmissionID
-	request := admission.Request{ID: c.admissionID, Deadline: c.deadline, Priority: int(c.head.Priority), Class: c.head.Route}
+	request := admission.Request{
+		ID: c.admissionID, Deadline: c.deadline, Class: c.head.Route,
+		Priority: int(c.head.Priority), Nested: c.head.Nested, Tenant: c.head.Tenant,
+	}
 	if c.head.MaxWaitMicros != nil {
 		request.Draw = rand.Float64()
 		request.Bounded, request.MaxWait = true, time.Duration(c.head.GetMaxWaitMicros())*time.Microsecond
 	}
-	if bound := e.latencyBound(c.head.Service, c.head.Route); bound > 0 {
+	if bound := c.objectiveLeft(); bound > 0 {
 		request.SoftDeadline = now.Add(bound)
 	}
 	action, shed := t.admission.Submit(request, now)
@@ -84,6 +87,15 @@
 	return decision, nil
 }
 
+// objectiveLeft returns the time in which a response is of full use to the caller, 0 if it has no bound:
+// what its entry states, which counts from the arrival there, or else the whole bound.
+func (c *callerRequest) objectiveLeft() time.Duration {
+	if left := c.head.ObjectiveMicros; left > 0 {
+		return time.Duration(left) * time.Microsecond
+	}
+	return c.exit.latencyBound(c.head.Service, c.head.Route)
+}
+
 // checkAdmissible refuses requests that no target of this host may run.
 func (e *Exit) checkAdmissible(c *callerRequest, now time.Time) *refusal {
 	switch {
