--- a/coord/admission/estimate.go
+++ b/coord/admission/estimate.go
@@ -32,10 +32,14 @@
 // serviceEstimate is the estimated service time of one class.
 type serviceEstimate struct {
 	ewma
+	deviation ewma // mean absolute difference from the average
 	updatedAt time.Time
 }
 
 func (e *serviceEstimate) add(value time.Duration, now time.Time) {
+	if e.initialized {
+		e.deviation.add((value - e.value).Abs())
+	}
 	e.ewma.add(value)
 	e.updatedAt = now
 }
--- a/coord/admission/queue.go
+++ b/coord/admission/queue.go
@@ -12,7 +12,9 @@
 	arrival uint64
 	// start is the virtual time at which the request is due by the share of its tenant; see flows.
 	start time.Duration
-	// late means that the request can't be in time even if it runs now.
+	// since is when the request began to wait.
+	since time.Time
+	// late means that the request is not expected in time even if it runs now; see isLate.
 	late bool
 }
 
@@ -53,7 +55,7 @@
 		return
 	}
 	for i := range t.queue {
-		t.queue[i].late = t.isLate(&t.queue[i].Request, now)
+		t.queue[i].late = t.isLate(&t.queue[i], now)
 	}
 	slices.SortFunc(t.queue, byArrival)
 	t.flows.startPass()
@@ -63,8 +65,36 @@
 	slices.SortFunc(t.queue, byShare)
 }
 
-// isLate reports whether the request would be late if it ran now.
-func (t *Target) isLate(*Request, time.Time) bool { return false }
+const (
+	// lateDeviations is the number of mean deviations of the service time by which a response must be
+	// expected before the soft deadline. With none, 0.85 of the requests served in an overload of 1.3
+	// are in time, with two 0.95 (TestFloodOfOneTenantLeavesTheOthersServed).
+	lateDeviations = 2
+	// maxLateMargin bounds that margin, as a fraction of the time that a request could wait when it came,
+	// so that requests of a class with little time to spare are not late from the start.
+	maxLateMargin = 0.5
+)
+
+// isLate reports whether a response is not expected well before the soft deadline even if the request runs
+// now. Without the margin, a queue under overload runs each request when about half of the responses are
+// still in time.
+func (t *Target) isLate(q *queuedRequest, now time.Time) bool {
+	if q.SoftDeadline.IsZero() {
+		return false
+	}
+	service := t.serviceTime(q.Class, now)
+	spare := q.SoftDeadline.Sub(q.since) - service
+	margin := min(lateDeviations*t.deviation(q.Class), time.Duration(maxLateMargin*float64(spare)))
+	return q.SoftDeadline.Sub(now)-service < max(margin, 0)
+}
+
+// deviation returns the mean deviation of the service time of a class.
+func (t *Target) deviation(class string) time.Duration {
+	if estimate := t.classes[class]; estimate != nil {
+		return estimate.deviation.value
+	}
+	return 0
+}
 
 // cost is the work that a request of a class takes from the share of its tenant: the estimated service
 // time. Classes that have not run yet count as the mean, and as equal if nothing has run.
@@ -76,7 +106,7 @@
 func (t *Target) insert(r Request, now time.Time) int {
 	t.arrivals++
 	t.flows.enqueue(r.Tenant)
-	t.queue = append(t.queue, queuedRequest{Request: r, arrival: t.arrivals})
+	t.queue = append(t.queue, queuedRequest{Request: r, arrival: t.arrivals, since: now})
 	t.order(now)
 	return t.indexOf(t.arrivals)
 }
@@ -95,3 +125,17 @@
 
 // shed removes the request at a position and returns its refusal.
 func (t *Target) shed(position int) Action { return refusal(t.remove(position), Overloaded) }
+
+// shedLateBacklog refuses the requests that can no longer be in time, but for those that may keep the
+// slots busy: another target may still have a free slot for them.
+func (t *Target) shedLateBacklog(now time.Time) []Action {
+	var actions []Action
+	for i := t.minBacklog(now); i < len(t.queue); {
+		if t.queue[i].SoftDeadline.IsZero() || !now.Add(t.serviceTime(t.queue[i].Class, now)).After(t.queue[i].SoftDeadline) {
+			i++
+			continue
+		}
+		actions = append(actions, t.shed(i))
+	}
+	return actions
+}
--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -355,6 +355,7 @@
 		t.run(t.queue[0].Request, now)
 		actions = append(actions, Action{ID: t.remove(0).ID, Verdict: Run})
 	}
+	actions = append(actions, t.shedLateBacklog(now)...)
 	if t.outstanding == 0 && len(t.queue) == 0 {
 		t.flows.reset()
 	}
