--- a/mesh/exit/cold_test.go
+++ b/mesh/exit/cold_test.go
@@ -70,13 +70,16 @@
 func (c *coldFixture) flood(span time.Duration) (most int) {
 	began := time.Now()
 	var callers sync.WaitGroup
+	var sending sync.Mutex // the fixture numbers the attempts
 	for range 8 {
 		callers.Go(func() {
 			for time.Since(began) < span {
 				head := requestHead(http.MethodGet, "/", "")
 				wait := int64(0)
 				head.MaxWaitMicros = &wait
+				sending.Lock()
 				stream := c.send(head)
+				sending.Unlock()
 				receive(c.t, stream)
 				stream.Discard()
 				time.Sleep(2 * time.Millisecond)
