Ask warm targets whether they are cold

Cause: a target may turn cold at any moment, and its next heartbeat may be 1.5 s and a delay away; it gets the requests of a warm one until then.

A response to a question from before an assumption does not end it.

The tests of mesh/exit pass, those of cold targets with the race detector, too.

--- a/coord/admission/cold.go
+++ b/coord/admission/cold.go
@@ -122,11 +122,14 @@
 func (t *Target) ColdRate() float64 { return t.pacer.cold.rate }
 
 // MayProbe reports whether a cold target tolerates one request more that does not wait for its turn. It takes the place
-// of a later one (see CountRepeat).
+// of a later one (see CountProbe).
 func (t *Target) MayProbe(now time.Time) bool {
 	return t.pacer.cold.rate == 0 || t.pacer.cold.windowDelay(0, now) == 0
 }
 
+// CountProbe counts a request that asks the target for its health. The rate that a target names is not that of probes.
+func (t *Target) CountProbe(now time.Time) { t.pacer.cold.take(now) }
+
 // MayRepeat reports whether a request may reach the target a second time on the same slot. A cold target
 // tolerates that only within its rate.
 func (t *Target) MayRepeat(now time.Time) bool { return t.pacer.cold.delay(0, now) == 0 }
--- a/integration/platform_cold_test.go
+++ b/integration/platform_cold_test.go
@@ -43,24 +43,32 @@
 // daemon beside it is killed meanwhile, when the worker is replaced, and when its zone comes back from an evacuation.
 func TestColdWorkersSurviveLoad(t *testing.T) {
 	for _, c := range []struct {
-		name string
-		play func(p *platformCluster, d *cluster.Daemon, w *workerserver.Worker) *workerserver.Worker
+		name      string
+		fromStart bool // the worker is cold from its start
+		play      func(p *platformCluster, d *cluster.Daemon, w *workerserver.Worker) *workerserver.Worker
 	}{
-		{"it turns cold under load", func(_ *platformCluster, _ *cluster.Daemon, w *workerserver.Worker) *workerserver.Worker {
+		{"it turns cold under load", false, func(_ *platformCluster, _ *cluster.Daemon, w *workerserver.Worker) *workerserver.Worker {
 			w.TurnCold(time.Minute)
 			return w
 		}},
-		{"its daemon is killed while it is cold", func(_ *platformCluster, d *cluster.Daemon, w *workerserver.Worker) *workerserver.Worker {
+		{"it turns cold under load and its heartbeats come late", false, func(_ *platformCluster, d *cluster.Daemon, w *workerserver.Worker) *workerserver.Worker {
+			w.Stop()
+			slow := d.StartWorker("i-slow", "v1", func(config *workerserver.Config) { config.HeartbeatInterval = 5 * time.Second })
+			time.Sleep(2 * time.Second)
+			slow.TurnCold(time.Minute)
+			return slow
+		}},
+		{"its daemon is killed while it is cold", false, func(_ *platformCluster, d *cluster.Daemon, w *workerserver.Worker) *workerserver.Worker {
 			w.TurnCold(time.Minute)
 			time.Sleep(coldNews)
 			d.Restart()
 			return w
 		}},
-		{"it crashes and comes back cold", func(_ *platformCluster, d *cluster.Daemon, w *workerserver.Worker) *workerserver.Worker {
+		{"it crashes and comes back cold", true, func(_ *platformCluster, d *cluster.Daemon, w *workerserver.Worker) *workerserver.Worker {
 			w.Stop()
 			return d.StartWorker("i-next", "v1", func(config *workerserver.Config) { config.ColdDuration = time.Minute })
 		}},
-		{"its zone comes back from an evacuation", func(p *platformCluster, _ *cluster.Daemon, w *workerserver.Worker) *workerserver.Worker {
+		{"its zone comes back from an evacuation", false, func(p *platformCluster, _ *cluster.Daemon, w *workerserver.Worker) *workerserver.Worker {
 			p.WriteOperatorRow(wire.PrefixEvacuate+"zone-a", struct{}{})
 			time.Sleep(evacuationWithin)
 			w.TurnCold(time.Minute)
@@ -88,8 +96,8 @@
 			turned := time.Now()
 			time.Sleep(coldNews)
 			from := turned.Add(coldNews)
-			if worker != p.workers[daemon.Settings.Host] {
-				from = turned // cold from its start
+			if c.fromStart {
+				from = turned
 			}
 			time.Sleep(2500 * time.Millisecond)
 			most := worker.MostExecutionsInASecond(from, time.Now())
--- a/mesh/exit/cold.go
+++ b/mesh/exit/cold.go
@@ -15,8 +15,6 @@
 	// cold: a usual interval of 1.5 s between heartbeats, and a second of delay. Where the target has a health
 	// path, the assumption mostly ends at once.
 	coldSilence = 2500 * time.Millisecond
-	// coldCheckInterval is the time between two health checks of a target that is only assumed to be cold.
-	coldCheckInterval = time.Second
 	// restartSpan is the time within which the connections of a process that ends are lost.
 	restartSpan = 200 * time.Millisecond
 	// unknownColdRate, in requests per second, holds a target that states that it is cold while no
@@ -52,10 +50,12 @@
 	announcedUntil, respondedUntil time.Time
 	// assumed means that the target is taken for cold because it may have restarted or been paused since
 	// it was heard of. A heartbeat or health response that comes later ends that.
-	assumed bool
+	assumed   bool
+	assumedAt time.Time
 	// ignore is the number of heartbeats that do not end it, since they may have been sent before.
 	ignore    int
 	checkedAt time.Time
+	checking  bool      // a health check has not ended
 	lostAt    time.Time // when a connection was lost with a request on it
 }
 
@@ -107,7 +107,7 @@
 	if t.cold.assumed || e.coldPolicy(t.Service).Rate == 0 {
 		return
 	}
-	t.cold.assumed = true
+	t.cold.assumed, t.cold.assumedAt = true, now
 	e.log.Info("target assumed cold", zap.String("instance", t.Instance), zap.String("cause", cause))
 	e.updateCold(t, now)
 }
@@ -117,7 +117,7 @@
 func (e *Exit) applyDoubt(t *target, now time.Time) {
 	t.cold.addedAt = now
 	if _, doubted := e.doubted[t.Instance]; doubted {
-		t.cold.assumed, t.cold.ignore = true, 1
+		t.cold.assumed, t.cold.assumedAt, t.cold.ignore = true, now, 1
 		delete(e.doubted, t.Instance)
 	}
 }
@@ -161,43 +161,6 @@
 	}
 }
 
-// tickCold assumes silent targets to be cold, ends cold periods that are over, and asks the targets that are
-// only assumed to be cold. The caller holds e.mu.
-func (e *Exit) tickCold(t *target, now time.Time) {
-	if now.Sub(t.cold.heardAt) >= coldSilence {
-		e.assumeCold(t, "no heartbeat", now)
-	}
-	e.updateCold(t, now)
-	if !t.cold.assumed || t.Leaving || e.evacuated || now.Sub(t.cold.checkedAt) < coldCheckInterval {
-		return
-	}
-	path := e.healthPath(t.Service)
-	if path == "" || e.conventions.HealthInstance == "" || e.conventions.ColdRemaining == "" || !t.admission.MayProbe(now) {
-		return
-	}
-	t.cold.checkedAt = now
-	t.admission.CountRepeat(now) // a cold target counts the health check, too
-	go e.checkCold(t, path)
-}
-
-// checkCold asks a target that is assumed to be cold whether it is.
-func (e *Exit) checkCold(t *target, path string) {
-	asked := time.Now()
-	header, err := e.checkHealth(t.Instance, t.Address, path)
-	if err != nil {
-		e.log.Info("target stays assumed cold", zap.String("instance", t.Instance), zap.Error(err))
-		return
-	}
-	remaining, stated := e.conventions.coldRemaining(header)
-	e.mu.Lock()
-	if stated && t.cold.assumed && e.targets[t.Instance] == t {
-		t.cold.assumed, t.cold.heardAt = false, asked
-		e.observeCold(t, remaining, time.Now())
-	}
-	e.mu.Unlock()
-	e.notifyChange()
-}
-
 // coldRemaining returns the time for which the target of a response states to stay cold, and whether it does.
 func (c *Conventions) coldRemaining(header http.Header) (time.Duration, bool) {
 	values := header[http.CanonicalHeaderKey(c.ColdRemaining)]
--- a/mesh/exit/cold_test.go
+++ b/mesh/exit/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -194,3 +195,46 @@
 		}
 	}
 }
+
+// Guards against a warm target that turns cold between two heartbeats and gets the requests of a warm one until the
+// next, and against health checks of targets whose service has no bound.
+func TestWarmTargetIsAskedWhetherItIsCold(t *testing.T) {
+	is := is.New(t)
+	conventions := exit.DefaultConventions
+	conventions.ColdRemaining, conventions.HealthInstance = "X-Cold", "X-Instance"
+	var rate atomic.Int64
+	fx := newFixtureOf(t, []exit.Option{
+		exit.WithColdPolicy(func(string) exit.ColdPolicy { return exit.ColdPolicy{Rate: float64(rate.Load()), Known: true} }),
+		exit.WithConventions(conventions), exit.WithHealthCheck(func(string) string { return "/health" }),
+	}, func(s *settings.Settings) { s.Exit.AnnounceTTL = revision.Duration(time.Minute) })
+	var asked, remaining atomic.Int64
+	fx.target(12, func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		w.Header().Set("X-Instance", "t1")
+		w.Header().Set("X-Cold", strconv.FormatInt(remaining.Load(), 10))
+	})
+	tick := func(condition func() bool) (met bool) {
+		for deadline := time.Now().Add(3 * time.Second); !condition(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				return false
+			}
+			fx.exit.Tick(time.Now())
+		}
+		return true
+	}
+	fx.exit.Tick(time.Now())
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(asked.Load(), int64(0))
+	rate.Store(coldRate)
+	is.True(tick(func() bool { return asked.Load() >= 3 }))
+	cold, _ := fx.exit.ColdTargets()
+	is.Equal(cold, 0)
+	remaining.Store(60_000)
+	is.True(tick(func() bool { cold, _ := fx.exit.ColdTargets(); return cold == 1 }))
+	before := asked.Load()
+	for range 60 { // several intervals
+		fx.exit.Tick(time.Now())
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(asked.Load() <= before+1) // by its own word it stays cold: no question takes the place of a request
+}
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -25,16 +26,17 @@
 // Exit serves the requests for the targets of its host. It implements
 // peer.RequestHandler and is safe for concurrent use.
 type Exit struct {
-	settings     settings.Exit
-	self         peer.Identity
-	log          *zap.Logger
-	latencyBound func(service, route string) time.Duration
-	conventions  Conventions
-	observeWait  func(service string, wait time.Duration)
-	outcomes     outcomes
-	targetConns  *limitedconn.Limit
-	healthPath   func(service string) string
-	coldPolicy   func(service string) ColdPolicy
+	settings        settings.Exit
+	self            peer.Identity
+	log             *zap.Logger
+	latencyBound    func(service, route string) time.Duration
+	conventions     Conventions
+	observeWait     func(service string, wait time.Duration)
+	outcomes        outcomes
+	targetConns     *limitedconn.Limit
+	healthPath      func(service string) string
+	healthTransport *http.Transport // for warm targets
+	coldPolicy      func(service string) ColdPolicy
 	// departuresKnown means that no earlier process of this daemon has acknowledged departures.
 	departuresKnown bool
 
@@ -124,6 +126,7 @@
 	for _, opt := range opts {
 		opt(e)
 	}
+	e.healthTransport = e.newHealthTransport()
 	e.departures = departure.NewLedger(departure.Policy{Retention: withdrawalRetention, Evidence: s.AnnounceTTL.Std()}, e.departuresKnown)
 	return e
 }
@@ -175,6 +178,7 @@
 	for _, t := range e.targets {
 		t.conns.close()
 	}
+	e.healthTransport.CloseIdleConnections()
 }
 
 func (e *Exit) beginDrain() {
--- a/mesh/exit/held.go
+++ b/mesh/exit/held.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net"
+	"io"
 	"net/http"
 	"time"
 
@@ -87,7 +87,9 @@
 	e.mu.Lock()
 	instance, address := held.announcement.Instance, held.announcement.Address
 	e.mu.Unlock()
-	_, err := e.checkHealth(instance, address, path)
+	transport := e.newHealthTransport()
+	transport.DisableKeepAlives = true
+	_, err := e.checkHealth(transport, instance, address, path)
 	if err != nil {
 		e.log.Info("target stays held", zap.String("instance", instance), zap.Error(err))
 		return
@@ -103,23 +105,18 @@
 
 // checkHealth returns the header of the response to a health check if the target responds with status 200 and
 // names itself.
-func (e *Exit) checkHealth(instance, address, path string) (http.Header, error) {
+func (e *Exit) checkHealth(transport *http.Transport, instance, address, path string) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return nil, err
 	}
-	dialer := net.Dialer{Timeout: targetDialTimeout}
-	transport := &http.Transport{
-		DialContext:            e.targetConns.Dialer(dialer.DialContext),
-		DisableKeepAlives:      true,
-		MaxResponseHeaderBytes: maxResponseHeader,
-	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return nil, err
 	}
+	_, _ = io.CopyN(io.Discard, response.Body, maxHealthBody)
 	_ = response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		return nil, errUnhealthy
