Log and show evacuations that are odd

An order for a zone in which no known daemon is changes nothing, and one for all zones refuses everything: both are logged once, and status marks the former.

--- a/mesh/ctl/evacuate.go
+++ b/mesh/ctl/evacuate.go
@@ -192,9 +192,14 @@
 	return zones
 }
 
-func (t *table) evacuated(zones map[string]int) {
+// evacuated prints the evacuated zones, with a remark on those in which no daemon is: the name may be mistyped.
+func (t *table) evacuated(zones map[string]int, known []zoneOverview) {
 	t.row("EVACUATED ZONE", "IN FORCE ON")
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
-		t.row(zone, fmt.Sprintf("%d daemons", zones[zone]))
+		remark := ""
+		if !slices.ContainsFunc(known, func(z zoneOverview) bool { return z.Zone == zone }) {
+			remark = "no daemon is known there"
+		}
+		t.row(zone, fmt.Sprintf("%d daemons", zones[zone]), remark)
 	}
 }
--- a/mesh/ctl/status.go
+++ b/mesh/ctl/status.go
@@ -61,7 +61,7 @@
 	t.targets(o.Targets)
 	if evacuated := o.evacuated(); len(evacuated) > 0 {
 		t.blankLine()
-		t.evacuated(evacuated)
+		t.evacuated(evacuated, o.Zones)
 	}
 	if len(o.Rollouts) > 0 {
 		t.blankLine()
--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -123,9 +123,12 @@
 	l.Exit.OnChange(l.Members.SetTargets)
 	l.Exit.OnCrash(crashReporter{l.Members, l.Pool}.report)
 	l.Configuration.OnApply(l.Recorder.RecordApplied)
+	log := evacuationLog{logger: l.Logger.Named("configuration")}
 	l.Configuration.OnApply(func(snapshot *revision.Snapshot) {
+		zones := snapshot.EvacuatedZones()
 		l.Exit.SetEvacuated(snapshot.Evacuated(l.Settings.Zone))
-		l.Entry.SetEvacuated(snapshot.EvacuatedZones())
+		l.Entry.SetEvacuated(zones)
+		log.logChange(zones, knownZones(l.Settings.Zone, l.Members.Members()))
 	})
 	l.Members.OnChange(l.Entry.SetMembers)
 	l.Members.OnChange(newMemberLog(l.Logger.Named("membership")).logChanges)
--- a/mesh/entry/regions.go
+++ b/mesh/entry/regions.go
@@ -5,7 +5,11 @@
 // withinRegions returns the choice among the hosts to which the request may be sent, nil if there is none: those
 // in the regions of its route and of its tenant, where these list any.
 func (c *callerRequest) withinRegions(choice *balance.Choice) *balance.Choice {
-	return choice.Within(c.route.Regions, c.tenantRegions())
+	tenant := c.tenantRegions()
+	if len(c.route.Regions)+len(tenant) == 0 {
+		return choice
+	}
+	return choice.Within(c.route.Regions, tenant)
 }
 
 // tenantRegions returns the regions to which requests of the tenant may be sent; empty means any.
