--- a/mesh/standin/workerserver/worker.go
+++ b/mesh/standin/workerserver/worker.go
@@ -172,18 +172,6 @@
 	return late
 }
 
-// CountExecutionsBetween returns the number of requests that started between two points in
-// time.
-func (w *Worker) CountExecutionsBetween(from, to time.Time) int {
-	count := 0
-	for _, run := range w.ExecutionRecords() {
-		if run.StartedAt.After(from) && run.StartedAt.Before(to) {
-			count++
-		}
-	}
-	return count
-}
-
 func (w *Worker) sendHeartbeats(ctx context.Context) {
 	ticker := time.NewTicker(w.config.HeartbeatInterval)
 	defer ticker.Stop()
