--- a/mesh/entry/nested_test.go
+++ b/mesh/entry/nested_test.go
@@ -68,3 +68,28 @@
 	is.Equal(recorder.Header().Get(HeaderOutcome), "refused")
 	is.Equal(f.hosts.dispatched(), 1)
 }
+
+// Guards against retries for a nested request whose run has ended, which take those of others.
+func TestNestedRequestIsRetriedOnlyWhileItsRunLasts(t *testing.T) {
+	for _, running := range []bool{false, true} {
+		is := is.New(t)
+		refuses := refusesWith(peerpb.RefusalReason_REFUSAL_REASON_OVERLOADED)
+		f := newFixture(t, testSettings(), nil, twoHosts(reportsNested, reportsNested))
+		f.entry.Configure("shop", testSettings().Retry)
+		for range 3 {
+			is.Equal(f.serveRecorded(httptest.NewRequest("GET", "/catalog", nil)).Code, 200)
+		}
+		f.hosts.set("a0", refuses)
+		f.hosts.set("b0", refuses)
+		if running {
+			f.entry.deps.Parents.Begin("order")
+		}
+		before := f.hosts.dispatched()
+		is.Equal(f.serveRecorded(httptest.NewRequest("GET", "/catalog", nil)).Code, 503)
+		attempts := 1
+		if running {
+			attempts = 2
+		}
+		is.Equal(f.hosts.dispatched()-before, attempts)
+	}
+}
--- a/mesh/exit/dispatch.go
+++ b/mesh/exit/dispatch.go
@@ -137,8 +137,8 @@
 }
 
 // exchange writes the request to a connection and reads the header of the response.
-func (c *callerRequest) exchange(open func(context.Context) (*targetConn, error)) (*http.Response, error) {
-	conn, err := open(c.ctx)
+func (c *callerRequest) exchange(open func(context.Context, time.Time) (*targetConn, error)) (*http.Response, error) {
+	conn, err := open(c.ctx, c.queueDeadline())
 	if err != nil {
 		return nil, err
 	}
--- a/mesh/exit/queuedeadline.go
+++ b/mesh/exit/queuedeadline.go
@@ -11,7 +11,7 @@
 	maxQueueMargin = 50 * time.Millisecond
 )
 
-// queueDeadline returns when the wait for a slot ends.
+// queueDeadline returns when the wait for a slot, and that for a connection to the target, ends.
 func (c *callerRequest) queueDeadline() time.Time {
 	margin := time.Duration(queueMarginFraction * float64(c.timeout))
 	return c.deadline.Add(-min(margin, maxQueueMargin))
--- a/mesh/exit/targetpool.go
+++ b/mesh/exit/targetpool.go
@@ -37,8 +37,8 @@
 	return &targetPool{address: address, limit: limit, maxIdle: min(max(slots, 1), maxIdleConnections)}
 }
 
-// get returns an idle connection that is neither expired nor closed by the target, or opens one.
-func (p *targetPool) get(ctx context.Context) (*targetConn, error) {
+// get returns an idle connection that is neither expired nor closed by the target, or opens one; see dial.
+func (p *targetPool) get(ctx context.Context, until time.Time) (*targetConn, error) {
 	for conn := p.pop(); conn != nil; conn = p.pop() {
 		if time.Since(conn.idleSince) < conn.idleTimeout && !idleconn.Stale(conn.Conn) {
 			conn.reused = true
@@ -46,11 +46,12 @@
 		}
 		conn.Close()
 	}
-	return p.dial(ctx)
+	return p.dial(ctx, until)
 }
 
-func (p *targetPool) dial(ctx context.Context) (*targetConn, error) {
-	dialer := net.Dialer{Timeout: targetDialTimeout}
+// dial opens a connection. The attempt ends at the time until.
+func (p *targetPool) dial(ctx context.Context, until time.Time) (*targetConn, error) {
+	dialer := net.Dialer{Timeout: targetDialTimeout, Deadline: until}
 	conn, err := p.limit.Dial(ctx, dialer.DialContext, "tcp", p.address)
 	if err != nil {
 		return nil, err
