Decide on runs at low rates too, and keep the retries of our own interface

The throttle needed eight ended runs of the last half second, which a target with few runs a second never has: four are enough. The model now scales all times, and has a case with times four times as long. Requests of our own interface that are nested by their hop count are retried as before: their parents are not learned, and 0.14 beside parents with 0.1 would be 1.1 × 1.14 - 1 = 0.25 at the second service.

--- a/coord/nested/model_test.go
+++ b/coord/nested/model_test.go
@@ -32,6 +32,7 @@
 	flash    bool    // the burst lasts for 300 ms only
 	swing    float64 // of the requests at both services, with a period of 13 s
 	seed     uint64
+	scale    float64       // of all times; 0 means 1
 	patience time.Duration // of a caller, from its first attempt; 0 means 1 s
 	parents  float64       // load of the first service; 0 means 0.8
 }
@@ -128,13 +129,17 @@
 	if m.patience == 0 {
 		m.patience = time.Second
 	}
+	if m.scale == 0 {
+		m.scale = 1
+	}
+	m.patience = m.scaled(m.patience)
 	first := m.parents
 	if first == 0 {
 		first = 0.8
 	}
-	perSecond := first * 12 * slots / 0.14
+	perSecond := first * 12 * slots / 0.14 / m.scale
 	second := perSecond * 2 * (1 - m.plain) / 0.7 // a further 0.3 come from callers
-	m.services[0].workTime = ownWork
+	m.services[0].workTime = m.scaled(ownWork)
 	m.services[1].workTime = time.Duration(m.load * 10 * slots / second * float64(time.Second))
 	m.services[1].rejected = m.rejected
 	m.arrive(perSecond, func() { m.caller(0) })
@@ -148,6 +153,8 @@
 	return &m.result
 }
 
+func (m *model) scaled(d time.Duration) time.Duration { return time.Duration(m.scale * float64(d)) }
+
 func (m *model) tick() {
 	for _, s := range m.services {
 		for _, t := range s.targets {
@@ -225,7 +232,7 @@
 		return
 	}
 	m.sequence++
-	submitted := admission.Request{ID: m.sequence, Deadline: r.deadline, SoftDeadline: r.deadline.Add(objective - m.patience), Class: class(r)}
+	submitted := admission.Request{ID: m.sequence, Deadline: r.deadline, SoftDeadline: r.deadline.Add(m.scaled(objective) - m.patience), Class: class(r)}
 	if m.inQueue && r.kind.Nested {
 		submitted.Priority = 1
 	}
--- a/coord/nested/overload_test.go
+++ b/coord/nested/overload_test.go
@@ -41,17 +41,21 @@
 		{"at the capacity", conditions{load: 1}, 1, 0.01},
 		{"a little above", conditions{load: 1.2}, 1.08, 0.09},
 		{"far above", conditions{load: 1.5}, 1.3, 0.12},
+		{"far above, all times longer", conditions{load: 1.5, scale: 4}, 1.3, 0.13},
 		{"half rejected at random", conditions{load: 0.6, rejected: 0.5}, 1.15, 0.62},
 		{"half rejected, slots short", conditions{load: 0.6, rejected: 0.5, plain: 0.5, parents: 1.2}, 1.04, 0.35},
 		{"far above, slots short", conditions{load: 1.5, plain: 0.5, parents: 1.2}, 1.01, 0.08},
 	}
-	const from, to, seconds = 2, 11, 12
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
+			from, to := 2, 11
+			if test.conditions.scale > 0 {
+				from, to = 8, 40
+			}
 			var results []*result
 			for _, decided := range []decisions{before, budget, queue, early, all} {
-				r := newModel(decided, test.conditions, seconds).run()
+				r := newModel(decided, test.conditions, to+1).run()
 				results = append(results, r)
 				served, asked, second := r.total(from, to)
 				t.Logf("%-30s served %4d of %4d a second, at the second service %3d, run time thrown away %.3f", decided.name,
--- a/coord/nested/throttle.go
+++ b/coord/nested/throttle.go
@@ -6,9 +6,12 @@
 )
 
 const (
-	// throttleHalfLife is the memory of the throttle: refusals end within about two of them after the
-	// other service has recovered.
+	// throttleHalfLife is the memory for the ends of runs. A longer one lets a little more runs through
+	// that fail, in steady overload too.
 	throttleHalfLife = 500 * time.Millisecond
+	// shortageHalfLife is the time in which the lack of room at other services fades without nested
+	// requests. It bounds how long runs are refused after a recovery.
+	shortageHalfLife = 500 * time.Millisecond
 	// throttleRatio is the number of requests that are let through for each success. Refusals begin when
 	// fewer than 1/1.1 = 0.9 of the runs succeed.
 	throttleRatio = 1.1
@@ -18,8 +21,10 @@
 	// shortageWeight is the weight of one nested request in that part. The few that probes make have to
 	// outweigh those before a recovery.
 	shortageWeight = 1.0 / 8
-	// minThrottleRequests is the aged number of requests of a route from which they may be refused.
-	minThrottleRequests = 8
+	// minThrottleRequests is the aged number of requests of a route from which they may be refused: about
+	// six a second. With eight, a sixth of the run time was thrown away at eight runs a second, with
+	// four a tenth.
+	minThrottleRequests = 4
 	// probeInterval is the time after which a request is let through in any case, so that a recovery
 	// is seen.
 	probeInterval = 250 * time.Millisecond
@@ -125,11 +130,11 @@
 	if lackOfRoom {
 		result = 1
 	}
-	shortage := t.shortage.at(now, throttleHalfLife)
+	shortage := t.shortage.at(now, shortageHalfLife)
 	t.shortage = agedCount{value: shortage + (result-shortage)*shortageWeight, updatedAt: now}
 }
 
 // otherIsShort reports whether nested requests of this host are refused for lack of room.
 func (t *Throttle) otherIsShort(now time.Time) bool {
-	return t.shortage.at(now, throttleHalfLife) >= minShortage
+	return t.shortage.at(now, shortageHalfLife) >= minShortage
 }
--- a/mesh/entry/nested.go
+++ b/mesh/entry/nested.go
@@ -55,7 +55,7 @@
 	if c.nested {
 		e.nestedRequests.Add(1)
 	}
-	c.kind = retry.Kind{Nested: c.nested, CallsPerRun: e.nestedRoutes.CallsPerRun(c.route.Name, now)}
+	c.kind = retry.Kind{Nested: c.parentHere, CallsPerRun: e.nestedRoutes.CallsPerRun(c.route.Name, now)}
 }
 
 // recordNested records whether a request that a target of this host made was refused for lack of room.
--- a/mesh/settings/settings.go
+++ b/mesh/settings/settings.go
@@ -52,8 +52,8 @@
 type Retry struct {
 	// Share is the fraction of the requests that may be retried, above 0 and at most 1.
 	Share float64 `json:"share" validate:"gt=0,max=1"`
-	// NestedShare is the fraction of the requests made by targets that may be retried; 0 means 1.4 times
-	// Share. Requests whose runs make others may be retried to half of Share.
+	// NestedShare is the fraction of the requests made by targets of the same host, as learned from
+	// origins, that may be retried; 0 means 1.4 times Share. Requests whose runs make others may be retried to half of Share.
 	NestedShare float64 `json:"nestedShare" validate:"min=0,max=1"`
 	// Reserve is the number of retries beyond Share that are available at once.
 	Reserve float64 `json:"reserve" validate:"min=0"`
