Count the requests that a target may still hold after they were given up

Some targets never respond to a request that they have no room for. A request whose caller left or whose deadline passed freed its slot here at once, while the target still held it: impatient callers filled the target's queue, and it fell silent. A restarted daemon knew nothing of what its former process had sent.

coord/admission counts such requests until the target must have dropped or ended them: at their deadline or, if that is sooner, when it has run what it holds, or when a response shows that what it got before has begun; two service times more for the run. With those of an earlier process (as many as slots, one less with each response) a target holds two for each slot at most. This follows Conventions.SilentWhenFull, which the platform sets; other deployments are served as before. The durations of requests that were given up raise the estimated service time only, since they would have run for longer.

--- a/coord/admission/estimate.go
+++ b/coord/admission/estimate.go
@@ -53,3 +53,34 @@
 	}
 	return time.Duration(float64(e.value) * math.Exp2(-over.Seconds()/estimateHalfLife.Seconds()))
 }
+
+// recordService records the service time of a request of a class.
+func (t *Target) recordService(class string, duration time.Duration, now time.Time) {
+	t.service.add(duration)
+	estimate := t.classes[class]
+	if estimate == nil {
+		t.evictClass()
+		estimate = &serviceEstimate{}
+		t.classes[class] = estimate
+	}
+	estimate.add(duration, now)
+}
+
+// maxClasses bounds the classes with a recorded service time. It is more than the routes
+// of one service that carry traffic at the same time.
+const maxClasses = 64
+
+// evictClass makes room for another class by removing the one whose last completion is
+// the oldest.
+func (t *Target) evictClass() {
+	if len(t.classes) < maxClasses {
+		return
+	}
+	oldest := ""
+	for class, estimate := range t.classes {
+		if oldest == "" || estimate.updatedAt.Before(t.classes[oldest].updatedAt) {
+			oldest = class
+		}
+	}
+	delete(t.classes, oldest)
+}
--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -28,6 +28,12 @@
 	QueueLength int
 	// WarmUp is the duration over which the slots of a new target open.
 	WarmUp time.Duration
+	// CountHeld means that the target never responds to a request that it has no room for. What it may
+	// still hold of the requests that were given up then counts; see Abandon.
+	CountHeld bool
+	// Inherited is the number of requests of an earlier process of the daemon that the target may hold.
+	// Each response shows that one of them has begun.
+	Inherited int
 }
 
 // Request holds the properties of a request on which admission depends.
@@ -119,11 +125,12 @@
 	failures    failureRate
 	pacer       pacer
 	responded   bool // see Config.InitialSlots
+	held        heldRequests
 }
 
 // NewTarget returns the state of a target that starts at now, without work.
 func NewTarget(config Config, now time.Time) *Target {
-	return &Target{config: config, started: now, classes: make(map[string]*serviceEstimate)}
+	return &Target{config: config, started: now, classes: make(map[string]*serviceEstimate), held: heldRequests{inherited: config.Inherited}}
 }
 
 // SetSlots changes the number of slots. Running requests are not affected.
@@ -141,7 +148,7 @@
 
 // Load returns the work at the time now.
 func (t *Target) Load(now time.Time) Load {
-	return Load{Outstanding: t.outstanding, Queued: len(t.queue), Slots: min(t.openSlots(now), t.RatedSlots())}
+	return Load{Outstanding: t.outstanding, Queued: len(t.queue), Slots: max(min(t.openSlots(now), t.RatedSlots()), 1)}
 }
 
 // Cold reports whether the target is still in its warm-up.
@@ -155,7 +162,7 @@
 // openSlots returns the number of slots that are open at the time now. The first one is
 // open from the start; the others open at a constant rate over the warm-up.
 func (t *Target) openSlots(now time.Time) int {
-	open := t.warmSlots(now)
+	open := min(t.warmSlots(now), t.heldRoom(now))
 	if t.config.InitialSlots > 0 && !t.responded {
 		return min(open, t.config.InitialSlots)
 	}
@@ -300,36 +307,11 @@
 // Complete frees the slot of a request that ran, records its service time under its class
 // and returns the actions on queued requests.
 func (t *Target) Complete(class string, duration time.Duration, now time.Time) []Action {
-	t.service.add(duration)
-	estimate := t.classes[class]
-	if estimate == nil {
-		t.evictClass()
-		estimate = &serviceEstimate{}
-		t.classes[class] = estimate
-	}
-	estimate.add(duration, now)
+	t.recordService(class, duration, now)
+	t.recordProgress(duration, now)
 	return t.Release(now)
 }
 
-// maxClasses bounds the classes with a recorded service time. It is more than the routes
-// of one service that carry traffic at the same time.
-const maxClasses = 64
-
-// evictClass makes room for another class by removing the one whose last completion is
-// the oldest.
-func (t *Target) evictClass() {
-	if len(t.classes) < maxClasses {
-		return
-	}
-	oldest := ""
-	for class, estimate := range t.classes {
-		if oldest == "" || estimate.updatedAt.Before(t.classes[oldest].updatedAt) {
-			oldest = class
-		}
-	}
-	delete(t.classes, oldest)
-}
-
 // Release frees the slot of a request that was not dispatched, without recording a service
 // time, and returns the actions on queued requests.
 func (t *Target) Release(now time.Time) []Action {
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -195,9 +195,12 @@
 	if r.kind == responded || c.ctx.Err() == nil { // a deadline shows nothing about the target
 		c.target.admission.RecordResult(r.failed(), now)
 	}
-	if c.dispatched {
+	switch {
+	case c.gaveUp(r):
+		e.abandon(c, elapsed, now)
+	case c.dispatched:
 		e.deliver(c.target, c.target.admission.Complete(c.head.Route, elapsed, now), now)
-	} else {
+	default:
 		e.deliver(c.target, c.target.admission.Release(now), now)
 	}
 	e.mu.Unlock()
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -188,6 +188,9 @@
 	if e.conventions.RateLimit != "" {
 		config.InitialSlots = initialSlots
 	}
+	if e.conventions.SilentWhenFull {
+		config.CountHeld, config.Inherited = true, e.inherited(a)
+	}
 	if a.Incarnation != 0 {
 		// A target that states how long it is cold accepts requests on all its slots at once,
 		// if more slowly. When all targets start together, opening the slots one by one would
@@ -208,6 +211,7 @@
 // continue. The caller holds e.mu.
 func (e *Exit) removeTarget(t *target) {
 	t.startLeaving()
+	e.removedAt[t.Instance] = removal{incarnation: t.Incarnation, at: time.Now()}
 	if e.targets[t.Instance] == t {
 		delete(e.targets, t.Instance)
 	}
@@ -255,6 +259,7 @@
 			continue
 		}
 		e.deliver(t, t.admission.Tick(now), now)
+		e.observeHeldBack(t, now)
 		t.conns.expire(now)
 	}
 	e.crashes.expire(now)
@@ -263,6 +268,7 @@
 			delete(e.withdrawals, instance)
 		}
 	}
+	e.expireRemovals(now)
 	e.departures.Expire(now)
 	e.tickHeld(now)
 	e.mu.Unlock()
@@ -356,38 +362,6 @@
 	return e.loadOf(versionKey{service, version}, time.Now())
 }
 
-// wait returns the shortest time that a request of the version is expected to wait at one of its
-// targets here.
-func (e *Exit) wait(key versionKey, now time.Time) time.Duration {
-	var shortest time.Duration
-	for i, t := range e.versions[key] {
-		if wait := t.admission.Wait(now); i == 0 || wait < shortest {
-			shortest = wait
-		}
-	}
-	return shortest
-}
-
-// failureRate returns the lowest recent failure rate of the version's targets here.
-func (e *Exit) failureRate(key versionKey, now time.Time) float64 {
-	lowest := 0.0
-	for i, t := range e.versions[key] {
-		if rate := t.admission.FailureRate(now); i == 0 || rate < lowest {
-			lowest = rate
-		}
-	}
-	return lowest
-}
-
-// serviceTime returns the longest recent mean service time of a route at the version's targets here.
-func (e *Exit) serviceTime(key versionKey, route string) time.Duration {
-	var longest time.Duration
-	for _, t := range e.versions[key] {
-		longest = max(longest, t.admission.ServiceTime(route))
-	}
-	return longest
-}
-
 func (e *Exit) loadOf(key versionKey, now time.Time) Load {
 	var sum Load
 	for _, t := range e.versions[key] {
--- a/mesh/exit/conventions.go
+++ b/mesh/exit/conventions.go
@@ -34,6 +34,10 @@
 	Leaving string
 	// HealthInstance names the field in which a target names itself in the response to a health check.
 	HealthInstance string
+	// SilentWhenFull means that targets never respond to a request that they can't queue, nor to any
+	// later one on its connection. Requests that were given up then count for as long as a target may hold
+	// them.
+	SilentWhenFull bool
 	// AllowUnframed accepts close-delimited responses (RFC 9112): those with neither a length nor
 	// chunks, which end with their connection.
 	AllowUnframed bool
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -36,6 +36,7 @@
 	healthPath   func(service string) string
 	// departuresKnown means that no earlier process of this daemon has acknowledged departures.
 	departuresKnown bool
+	startedAt       time.Time
 
 	changeMu        sync.Mutex      // serializes calls of onChange; locked before mu
 	reportedTargets []gossip.Target // passed to onChange last; guarded by changeMu
@@ -44,6 +45,7 @@
 	targets         map[string]*target // by instance
 	versions        map[versionKey][]*target
 	withdrawals     map[string]withdrawal // withdrawn targets, by instance
+	removedAt       map[string]removal    // removed targets, by instance
 	departures      *departure.Ledger
 	held            map[string]*heldTarget // by instance
 	recorded        chan struct{}          // closed and replaced by DeparturesRecorded
@@ -97,6 +99,8 @@
 		latencyBound: func(string, string) time.Duration { return 0 },
 		conventions:  DefaultConventions,
 		withdrawals:  make(map[string]withdrawal),
+		removedAt:    make(map[string]removal),
+		startedAt:    time.Now(),
 		held:         make(map[string]*heldTarget),
 		recorded:     make(chan struct{}),
 		healthPath:   func(string) string { return "" },
--- a/mesh/exit/target.go
+++ b/mesh/exit/target.go
@@ -28,6 +28,8 @@
 	reportedSlots int
 	// runScheduled is set while a timer is to run the next queued request.
 	runScheduled bool
+	// heldBack is set while fewer requests than slots are sent because of those that were given up.
+	heldBack bool
 }
 
 func newTarget(a admin.Announcement, config admission.Config, limit *limitedconn.Limit, now time.Time) *target {
--- a/mesh/standin/workerserver/worker.go
+++ b/mesh/standin/workerserver/worker.go
@@ -43,6 +43,10 @@
 	QueueLimit int
 	// WorkDuration is the time that a request runs.
 	WorkDuration time.Duration
+	// SilentWhenFull makes the worker never respond to a request that it has no room for, nor to later ones
+	// on that connection, and hold the others until they have run or their deadline has passed in the
+	// queue, though their connections are closed.
+	SilentWhenFull bool
 	// AlwaysFail makes the worker respond to every request with its own status 500.
 	AlwaysFail bool
 	// HeartbeatInterval is the time between heartbeats.
@@ -78,6 +82,7 @@
 	executions  []ExecutionRecord
 	outstanding int
 	left        bool // Drain or Deregister was called
+	silence     silence
 	// leavingAcknowledgedAt is when the daemon acknowledged that the worker leaves.
 	leavingAcknowledgedAt time.Time
 }
@@ -109,6 +114,7 @@
 	w.cancel()
 	w.heartbeats.Wait()
 	_ = w.server.Close()
+	w.closeSilent()
 }
 
 // Drain reports to the daemon that the worker leaves, and returns when the daemon has
@@ -257,9 +263,13 @@
 	}
 	millis, _ := strconv.ParseInt(request.Header.Get(wire.HeaderDeadline), 10, 64)
 	deadline := time.Duration(millis) * time.Millisecond
-	ctx, cancel := context.WithTimeout(request.Context(), deadline)
+	ctx, cancel := context.WithTimeout(w.runContext(request), deadline)
 	defer cancel()
 	if !w.acquireSlot(ctx) {
+		if w.fallsSilent(ctx) {
+			w.keepSilent(writer)
+			return
+		}
 		w.rejectNotExecuted(writer, http.StatusServiceUnavailable)
 		return
 	}
@@ -300,6 +310,7 @@
 	full := w.outstanding >= w.config.Slots+w.config.QueueLimit
 	if !full {
 		w.outstanding++
+		w.silence.mostHeld = max(w.silence.mostHeld, w.outstanding)
 	}
 	w.mu.Unlock()
 	if full {
@@ -377,25 +388,3 @@
 	writer.WriteHeader(status)
 	_, _ = io.WriteString(writer, body)
 }
-
-// writeRaw writes responses that net/http cannot write.
-func (w *Worker) writeRaw(writer http.ResponseWriter, status int, id, kind string) {
-	conn, buffer, err := http.NewResponseController(writer).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	defer conn.Close()
-	copies, length := 1, ""
-	if kind == ResponseExtra {
-		copies, length = 2, fmt.Sprintf("Content-Length: %d\r\n", len(ResponseBody(id)))
-	}
-	for range copies {
-		fmt.Fprintf(buffer, "HTTP/1.1 %d Status\r\n%s: %s\r\n%s: signed-%s\r\n%s\r\n%s",
-			status, wire.HeaderRequestID, id, wire.HeaderSignature, w.config.ID, length, ResponseBody(id))
-	}
-	_ = buffer.Flush()
-	if kind == ResponseExtra {
-		_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-		_, _ = buffer.ReadByte() // keep the connection open until the daemon closes it
-	}
-}
