Bound the connections and early starts that one tenant takes of a daemon

A tenant could hold all caller connections of a daemon, and all requests that a daemon starts early for pipelining callers. While the configuration has tenants, a tenant may now hold two units for each free one (dynamic thresholds): alone two thirds, and some units always remain for a tenant that has none. A request on a connection beyond that is refused with 429 and the connection is closed; a pipelined request beyond it waits for its turn. Requests without a known key share one part. Without tenants nothing changes.

--- a/mesh/entry/callerconn.go
+++ b/mesh/entry/callerconn.go
@@ -41,6 +41,7 @@
 	net.Conn
 	entry     *Entry
 	overLimit bool // accepted only to be refused
+	share     connectionShare
 	once      sync.Once
 	onClose   func()
 	// headerStart is when the first byte of a header arrived, in Unix nanoseconds; 0 while
@@ -331,6 +332,7 @@
 	c.once.Do(func() {
 		first = true
 		c.releasePrefetches()
+		c.entry.tenantShares.forget(c)
 	})
 	if !first {
 		return c.Conn.Close()
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -100,7 +100,8 @@
 	keepAlivesDisabled atomic.Bool
 	departedRequests   atomic.Uint64
 	// prefetches is the number of requests that were started early and whose responses are held.
-	prefetches atomic.Int64
+	prefetches   atomic.Int64
+	tenantShares tenantShares
 }
 
 // New returns an entry for the daemon at self.
--- a/mesh/entry/prefetch.go
+++ b/mesh/entry/prefetch.go
@@ -40,16 +40,6 @@
 	release func()
 }
 
-// acquirePrefetch counts one more request that is started early, until the returned function is called. It
-// returns nil if there are maxTotalPrefetches.
-func (e *Entry) acquirePrefetch() (release func()) {
-	if e.prefetches.Add(1) > maxTotalPrefetches {
-		e.prefetches.Add(-1)
-		return nil
-	}
-	return sync.OnceFunc(func() { e.prefetches.Add(-1) })
-}
-
 // startPrefetches starts the whole requests in the buffer, in order, up to the first that can't be
 // started early. The caller holds mutex.
 func (c *countedConn) startPrefetches() {
@@ -69,7 +59,7 @@
 		if err != nil || request.Close || !request.ProtoAtLeast(1, 1) || !c.entry.mayPrefetch(request) {
 			return
 		}
-		release := c.entry.acquirePrefetch()
+		release := c.entry.acquirePrefetch(request)
 		if release == nil {
 			return
 		}
--- a/mesh/entry/server.go
+++ b/mesh/entry/server.go
@@ -61,6 +61,7 @@
 func NewServer(settings settings.Entry, entry *Entry, log *zap.Logger) *Server {
 	server := &Server{entry: entry, maxConnections: int64(settings.MaxConnections), refusalPeriod: refusalPeriod, waitingConns: newWaitingConns()}
 	server.SetLameDuckPeriod(settings.LameDuck.Std())
+	entry.tenantShares.freeConnections = func() int { return int(server.maxConnections - server.openConnections.Load()) }
 	server.http = &http.Server{
 		Handler:           entry,
 		MaxHeaderBytes:    settings.MaxHeaderBytes,
