--- /dev/null
+++ b/coord/quota/client.go
@@ -0,0 +1,381 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxCandidates is the number of coordinators that a daemon tries before it acts for itself alone.
+	maxCandidates = 3
+	// probeInterval is the time after which a daemon tries a preferred coordinator again.
+	probeInterval = time.Second
+	// minEmpty and maxEmpty bound the time for which a daemon does not ask again for a tenant whose
+	// bucket was empty: it limits the exchanges under a flood.
+	minEmpty = 20 * time.Millisecond
+	maxEmpty = 100 * time.Millisecond
+	// minOffered is the rate below which a tenant is left out of reports.
+	minOffered = 0.02
+	// failureBackoff is the time between a report without a reply and the next one. It bounds the messages
+	// of a fleet that starts, whose daemons reply for a while that they do not act as coordinator.
+	failureBackoff = 50 * time.Millisecond
+	// maxWanted bounds the tokens of one fetch.
+	maxWanted = 10000
+)
+
+// Client is the part of a daemon that fetches tokens from the coordinator of its zone.
+type Client struct {
+	host        string
+	incarnation uint64
+	candidates  []string // the preferred one first, this daemon at last
+	current     string
+	// heldUntil is the time until which a former coordinator may count this daemon, lastSent that of the
+	// last report to the current one.
+	heldUntil, lastSent time.Duration
+	sequence            uint64
+	pending             *exchange
+	nextReport          time.Duration
+	nextProbe           time.Duration
+	nextFetch           time.Duration
+	measuredAt          time.Duration
+	tenants             map[string]*tenantTokens
+}
+
+// exchange is a report without a reply yet.
+type exchange struct {
+	to       string
+	sequence uint64
+	sentAt   time.Duration
+	complete bool
+}
+
+// Waiter is a request that waits for a token. Its fields are set when it is decided.
+type Waiter struct {
+	tenant           string
+	Decided, Granted bool
+	// RetryAfter is the time after which a refused request is worth another try.
+	RetryAfter time.Duration
+}
+
+// tenantTokens are the tokens of one tenant at a daemon, and its demand.
+type tenantTokens struct {
+	held       []tokens // oldest first
+	used       []tokens // that may be given back
+	waiters    []*Waiter
+	asked      int // waiters that the pending exchange asked for
+	arrivals   int
+	offered    float64 // per second
+	emptyUntil time.Duration
+	retryAfter time.Duration
+}
+
+type tokens struct {
+	expiry time.Duration
+	count  int
+}
+
+// NewClient returns a client without candidates.
+func NewClient(host string, incarnation uint64, now time.Duration) *Client {
+	return &Client{
+		host:        host,
+		incarnation: incarnation,
+		// An earlier run of this daemon may still be counted elsewhere.
+		heldUntil:  now + reportValid + holdMargin,
+		measuredAt: now,
+		tenants:    make(map[string]*tenantTokens),
+	}
+}
+
+// SetCandidates sets the hosts of the zone that may act as coordinator, in the order of preference.
+func (c *Client) SetCandidates(hosts []string) {
+	c.candidates = append([]string(nil), hosts[:min(len(hosts), maxCandidates)]...)
+	if !slices.Contains(c.candidates, c.host) {
+		c.candidates = append(c.candidates, c.host)
+	}
+}
+
+// SetLimits forgets the tenants that have no limit any more.
+func (c *Client) SetLimits(limits Limits) {
+	for tenant := range c.tenants {
+		if _, ok := limits[tenant]; !ok {
+			delete(c.tenants, tenant)
+		}
+	}
+}
+
+func (c *Client) tenant(name string) *tenantTokens {
+	t := c.tenants[name]
+	if t == nil {
+		t = &tenantTokens{}
+		c.tenants[name] = t
+	}
+	return t
+}
+
+// Begin decides on a request of the tenant: it uses a token, or is refused if the bucket was found empty a
+// moment ago, or else waits for one exchange. A waiter that is not decided must be given to Abandon or be
+// returned by HandleReply.
+func (c *Client) Begin(now time.Duration, tenant string) *Waiter {
+	t := c.tenant(tenant)
+	t.arrivals++
+	w := &Waiter{tenant: tenant}
+	switch {
+	case len(t.waiters) == 0 && t.take(now):
+		w.Decided, w.Granted = true, true
+	case now < t.emptyUntil:
+		w.Decided, w.RetryAfter = true, t.retryAfter
+	default:
+		t.waiters = append(t.waiters, w)
+	}
+	return w
+}
+
+// Abandon refuses a request that does not wait any longer.
+func (c *Client) Abandon(w *Waiter) {
+	t := c.tenant(w.tenant)
+	t.waiters = slices.DeleteFunc(t.waiters, func(other *Waiter) bool { return other == w })
+	w.Decided, w.RetryAfter = true, t.retryAfter
+}
+
+// take uses a token and reports whether there was one.
+func (t *tenantTokens) take(now time.Duration) bool {
+	t.expire(now)
+	if len(t.held) == 0 {
+		return false
+	}
+	first := &t.held[0]
+	t.used = append(t.used, tokens{first.expiry, 1})
+	if first.count--; first.count == 0 {
+		t.held = t.held[1:]
+	}
+	return true
+}
+
+// Return gives back the token of a request that no target ran. Only a token that has not expired is of use
+// again: one that came back later could admit a request in a window in which the bucket is full again.
+func (c *Client) Return(now time.Duration, tenant string) {
+	t := c.tenant(tenant)
+	t.expire(now)
+	if last := len(t.used) - 1; last >= 0 {
+		t.held = append(t.held, t.used[last])
+		t.used = t.used[:last]
+		slices.SortFunc(t.held, func(a, b tokens) int { return int(a.expiry - b.expiry) })
+	}
+}
+
+func (t *tenantTokens) expire(now time.Duration) {
+	expired := func(token tokens) bool { return token.expiry <= now }
+	t.held = slices.DeleteFunc(t.held, expired)
+	t.used = slices.DeleteFunc(t.used, expired)
+}
+
+func (t *tenantTokens) count() int {
+	count := 0
+	for _, token := range t.held {
+		count += token.count
+	}
+	return count
+}
+
+// balance returns how many tokens the tenant wants, or how many it has too many.
+func (t *tenantTokens) balance(now time.Duration) int {
+	t.expire(now)
+	ahead := int(t.offered * fetchAhead.Seconds())
+	return min(len(t.waiters)+ahead-t.count(), maxWanted)
+}
+
+// giveUp removes tokens that are given back to the coordinator, those that last longest.
+func (t *tenantTokens) giveUp(count int) int {
+	given := 0
+	for last := len(t.held) - 1; last >= 0 && given < count; last-- {
+		n := min(count-given, t.held[last].count)
+		given += n
+		if t.held[last].count -= n; t.held[last].count == 0 {
+			t.held = t.held[:last]
+		}
+	}
+	return given
+}
+
+// Next returns the report that is due and the host that it is for. There is none while one has no reply.
+func (c *Client) Next(now time.Duration) (to string, report *Report) {
+	if c.pending != nil && now-c.pending.sentAt >= ExchangeTimeout {
+		c.HandleFailure(now, c.pending.sequence)
+	}
+	complete := now >= c.nextReport
+	if c.pending != nil || len(c.candidates) == 0 || !complete && (now < c.nextFetch || !c.anyWaiting(now)) {
+		return "", nil
+	}
+	to = c.choose(now, complete)
+	c.sequence++
+	report = &Report{Host: c.host, Incarnation: c.incarnation, Sequence: c.sequence, Complete: complete}
+	if to != c.current {
+		report.Hold = max(c.heldUntil, c.lastSent+reportValid+holdMargin) - now
+	} else {
+		report.Hold = c.heldUntil - now
+		c.lastSent = now
+	}
+	report.Hold = max(report.Hold, 0)
+	if complete {
+		c.measure(now)
+		c.nextReport = now + ReportInterval
+	}
+	c.nextFetch = now + minFetchInterval
+	c.pending = &exchange{to, c.sequence, now, complete}
+	report.Demands = c.demands(now, complete, to == c.current)
+	return to, report
+}
+
+// choose returns the host for the next report. A probe of a preferred coordinator takes the place of a
+// report to the current one.
+func (c *Client) choose(now time.Duration, complete bool) string {
+	if c.current == "" {
+		c.current = c.candidates[0]
+	}
+	if preferred := c.candidates[0]; c.current != preferred && complete && now >= c.nextProbe {
+		c.nextProbe = now + probeInterval
+		return preferred
+	}
+	return c.current
+}
+
+func (c *Client) anyWaiting(now time.Duration) bool {
+	for _, t := range c.tenants {
+		if len(t.waiters) > 0 && now >= t.emptyUntil {
+			return true
+		}
+	}
+	return false
+}
+
+// measure updates the averages of the tenants' request rates.
+func (c *Client) measure(now time.Duration) {
+	elapsed := (now - c.measuredAt).Seconds()
+	c.measuredAt = now
+	if elapsed <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-elapsed/demandPeriod.Seconds())
+	for _, t := range c.tenants {
+		t.offered += weight * (float64(t.arrivals)/elapsed - t.offered)
+		t.arrivals = 0
+	}
+}
+
+// demands lists what the tenants need. Tokens are given back only to the coordinator that they are from.
+func (c *Client) demands(now time.Duration, complete, mayReturn bool) []Demand {
+	var demands []Demand
+	for name, t := range c.tenants {
+		d := Demand{Tenant: name}
+		balance := t.balance(now)
+		t.asked = 0
+		if balance > 0 && (len(t.waiters) > 0 || complete) && now >= t.emptyUntil {
+			t.asked, d.Wanted = len(t.waiters), balance
+		} else if balance < 0 && mayReturn && complete {
+			d.Returned = t.giveUp(-balance)
+		}
+		if complete && t.offered >= minOffered {
+			d.Offered = t.offered
+		}
+		if d.Wanted > 0 || d.Returned > 0 || d.Offered > 0 {
+			demands = append(demands, d)
+		}
+	}
+	slices.SortFunc(demands, func(a, b Demand) int {
+		if a.Tenant < b.Tenant {
+			return -1
+		}
+		return 1
+	})
+	return demands
+}
+
+// HandleReply applies the reply to the report with the sequence, and returns the requests that it decides.
+// A late reply is ignored.
+func (c *Client) HandleReply(now time.Duration, sequence uint64, reply Reply) (decided []*Waiter) {
+	if c.pending == nil || c.pending.sequence != sequence {
+		return nil
+	}
+	if reply.NotCoordinator || now-c.pending.sentAt >= ExchangeTimeout {
+		c.HandleFailure(now, sequence)
+		return nil
+	}
+	if c.pending.to != c.current {
+		c.switchTo(c.pending.to)
+	}
+	expiry := c.pending.sentAt + tokenTTL
+	c.pending = nil
+	for _, grant := range reply.Grants {
+		t := c.tenants[grant.Tenant]
+		if t == nil {
+			continue // its limit was removed
+		}
+		if grant.Tokens > 0 {
+			t.held = append(t.held, tokens{expiry, grant.Tokens})
+		}
+		if grant.Soon {
+			t.asked = 0
+		}
+		if grant.RetryAfter > 0 {
+			t.retryAfter = grant.RetryAfter
+			t.emptyUntil = now + min(max(grant.RetryAfter, minEmpty), maxEmpty)
+		}
+	}
+	for _, t := range c.tenants {
+		decided = append(decided, t.decide(now)...)
+	}
+	return decided
+}
+
+// decide gives the tokens to the waiting requests, and refuses those that the exchange asked for in vain.
+func (t *tenantTokens) decide(now time.Duration) (decided []*Waiter) {
+	rest := t.waiters[:0]
+	for i, w := range t.waiters {
+		w.Granted = t.take(now)
+		if w.Decided = w.Granted || i < t.asked; w.Decided {
+			if !w.Granted {
+				w.RetryAfter = t.retryAfter
+			}
+			decided = append(decided, w)
+		} else {
+			rest = append(rest, w)
+		}
+	}
+	clear(t.waiters[len(rest):])
+	t.waiters, t.asked = rest, 0
+	return decided
+}
+
+// HandleFailure applies that the report with the sequence had no reply. The next one goes to the next
+// candidate, unless it was a probe.
+func (c *Client) HandleFailure(now time.Duration, sequence uint64) {
+	if c.pending == nil || c.pending.sequence != sequence {
+		return
+	}
+	failed := c.pending.to
+	c.pending = nil
+	if failed != c.current {
+		return
+	}
+	c.nextFetch = now + failureBackoff
+	next := (slices.Index(c.candidates, failed) + 1) % len(c.candidates)
+	c.nextProbe = now + probeInterval
+	if c.candidates[next] != failed {
+		c.switchTo(c.candidates[next])
+		c.nextReport = min(c.nextReport, now+failureBackoff)
+	}
+}
+
+// switchTo makes a host the coordinator of this daemon. The tokens of the former one are discarded. The
+// former one may count this daemon for a while.
+func (c *Client) switchTo(host string) {
+	c.current = host
+	c.heldUntil = max(c.heldUntil, c.lastSent+reportValid+holdMargin)
+	for _, t := range c.tenants {
+		t.held, t.used = nil, nil
+	}
+}
+
+// Coordinator returns the host to which the daemon reports, or "".
+func (c *Client) Coordinator() string { return c.current }
--- /dev/null
+++ b/coord/quota/view.go
@@ -0,0 +1,51 @@
+package quota
+
+import (
+	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/coord/rendezvous"
+)
+
+// View is what a member list tells about the coordinators.
+type View struct {
+	// Candidates are the hosts of the zone that may be its coordinator, the preferred one first.
+	Candidates []string
+	// Known are the members of the zone that are not leaving, and Alive those of them that are not dead.
+	Known, Alive int
+	// Coordinators are the presumed coordinators by zone.
+	Coordinators map[string]string
+	// Zones is the number of zones.
+	Zones int
+}
+
+// NewView returns the view of a host. zones are the zones that the settings list; others may be known from
+// members.
+func NewView(self, zone string, zones []string, members []gossip.Member) View {
+	view := View{Known: 1, Alive: 1, Coordinators: make(map[string]string)}
+	names := map[string]bool{zone: true}
+	for _, name := range zones {
+		names[name] = true
+	}
+	available := map[string][]string{zone: {self}}
+	for i := range members {
+		member := &members[i]
+		names[member.Zone] = true
+		if member.Leaving || member.Host == self {
+			continue
+		}
+		if member.Zone == zone {
+			view.Known++
+			if member.Status != gossip.Dead {
+				view.Alive++
+			}
+		}
+		if member.Status == gossip.Alive {
+			available[member.Zone] = append(available[member.Zone], member.Host)
+		}
+	}
+	for name, hosts := range available {
+		view.Coordinators[name] = rendezvous.Top("quota/"+name, hosts, 1)[0]
+	}
+	view.Candidates = rendezvous.Top("quota/"+zone, available[zone], maxCandidates)
+	view.Zones = len(names)
+	return view
+}
