mesh: limits of tenants over all daemons at the entry

Adds mesh/quota, which carries the messages of coord/quota over control streams, the entry's step behind the body (reason tenant-limit, 429), tokens for each attempt, the setting zones, metrics and a log line at most every 10 s. The test of unknown settings used "zones" as a field that does not exist; it uses another name now.

--- a/coord/quota/coordinator.go
+++ b/coord/quota/coordinator.go
@@ -77,8 +77,10 @@
 // Acts reports whether this daemon acts as coordinator for at least one daemon.
 func (c *Coordinator) Acts(now time.Duration) bool { return c.mayAct(now) && c.Part(now) > 0 }
 
+// mayAct reports whether this daemon answers as coordinator. One that has no limits lacks the configuration
+// and could only refuse.
 func (c *Coordinator) mayAct(now time.Duration) bool {
-	return !c.leaving && now-c.startedAt >= startupSilence
+	return !c.leaving && len(c.buckets) > 0 && now-c.startedAt >= startupSilence
 }
 
 // Part returns the part of the zone's limit that this coordinator may use: that of the daemons that
--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -43,6 +43,7 @@
 // runCase runs a case in calm, in which the share that is served from the fault to the end must be at least
 // least, and at demand beyond the limits. The bound must hold in both.
 func runCase(t *testing.T, least float64, prepare func(s *sim)) {
+	t.Parallel()
 	sizes := []int{60}
 	if t.Name() == "TestCalm" || os.Getenv(largeFleets) != "" {
 		sizes = append(sizes, 300)
--- a/mesh/daemon/control.go
+++ b/mesh/daemon/control.go
@@ -9,6 +9,7 @@
 	"sassafrasnotch.example/mesh/exit"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/peer/peerpb"
+	"sassafrasnotch.example/mesh/quota"
 	"sassafrasnotch.example/mesh/source"
 )
 
@@ -20,10 +21,11 @@
 	controller  *controller.Controller
 	claims      *claim.Claimer
 	exit        *exit.Exit
+	quota       *quota.Limiter
 }
 
-func newControlHandler(d *distribution.Distributor, s *source.Source, c *controller.Controller, claims *claim.Claimer, x *exit.Exit) *controlHandler {
-	return &controlHandler{distributor: d, source: s, controller: c, claims: claims, exit: x}
+func newControlHandler(d *distribution.Distributor, s *source.Source, c *controller.Controller, claims *claim.Claimer, x *exit.Exit, limiter *quota.Limiter) *controlHandler {
+	return &controlHandler{distributor: d, source: s, controller: c, claims: claims, exit: x, quota: limiter}
 }
 
 // ServeControl implements peer.ControlHandler. Its reply is a ControlError for a request that
@@ -60,6 +62,10 @@
 			CrashNumber: body.Crash.GetNumber(),
 		})
 		return &peerpb.ControlReply{Body: &peerpb.ControlReply_Crash{Crash: &peerpb.CrashReply{}}}
+	case *peerpb.ControlRequest_Tokens:
+		return h.quota.ServeTokens(from, body.Tokens)
+	case *peerpb.ControlRequest_Shares:
+		return h.quota.ServeShares(from, body.Shares)
 	}
 	return controlError("dispatch", "unknown type of control request")
 }
--- a/mesh/daemon/daemon.go
+++ b/mesh/daemon/daemon.go
@@ -51,9 +51,10 @@
 		requestsModule,
 		adminModule,
 		hostsModule,
+		quotaModule,
 		updatesModule,
 		fx.Provide(newReloader, newPorts, newBudget),
-		fx.Invoke(setRuntime, registerMetrics, registerLifecycle),
+		fx.Invoke(setRuntime, registerMetrics, registerQuotaMetrics, registerLifecycle),
 	}, options...)
 	return fx.New(all...)
 }
--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -20,6 +20,7 @@
 	"sassafrasnotch.example/mesh/membership"
 	"sassafrasnotch.example/mesh/outcomes"
 	"sassafrasnotch.example/mesh/peer"
+	"sassafrasnotch.example/mesh/quota"
 	"sassafrasnotch.example/mesh/report"
 	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/steperr"
@@ -54,6 +55,7 @@
 	Recorder      *report.Recorder
 	Credentials   *tlsCredentials
 	Ports         *acceptor.Ports
+	Quota         *quota.Limiter
 }
 
 // lifecycle starts the components in the order of their dependencies and stops them so that no
@@ -122,7 +124,9 @@
 	l.Exit.OnChange(l.Members.SetTargets)
 	l.Exit.OnCrash(crashReporter{l.Members, l.Pool}.report)
 	l.Configuration.OnApply(l.Recorder.RecordApplied)
+	l.Configuration.OnApply(l.Quota.SetSnapshot)
 	l.Members.OnChange(l.Entry.SetMembers)
+	l.Members.OnChange(l.Quota.SetMembers)
 	l.Members.OnChange(newMemberLog(l.Logger.Named("membership")).logChanges)
 	l.Members.OnNewerRevision(l.Configuration.ObserveRevision)
 	l.Members.OnUpdate(l.Updates.apply)
@@ -140,6 +144,7 @@
 	l.background.Go(func() { l.Controller.Run(ctx) })
 	l.background.Go(func() { l.Recorder.Run(ctx) })
 	l.background.Go(func() { l.runTicks(ctx) })
+	l.background.Go(func() { l.Quota.Run(ctx) })
 	l.background.Go(func() { l.Credentials.run(ctx, l.Logger.Named("security")) })
 	l.background.Go(func() {
 		l.Claims.RunSweeps(ctx, claim.Self{Host: l.Settings.Host, Zone: l.Settings.Zone}, l.Members)
@@ -207,6 +212,7 @@
 	l.Logger.Info("daemon leaving")
 	l.EntryServer.RunLameDuck(drainCtx)
 	l.Members.Leave()
+	l.Quota.Leave()
 	var errs []error
 	var group sync.WaitGroup
 	var mu sync.Mutex
--- a/mesh/daemon/requests.go
+++ b/mesh/daemon/requests.go
@@ -19,6 +19,7 @@
 	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/membership"
 	"sassafrasnotch.example/mesh/peer"
+	"sassafrasnotch.example/mesh/quota"
 	"sassafrasnotch.example/mesh/report"
 	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/telemetry"
@@ -44,7 +45,7 @@
 		self := claim.Self{Host: identity.Host, Zone: identity.Zone}
 		return claim.NewZoned(self, members, pool, backing, logger.Named("claim"))
 	},
-	func(s settings.Settings, a adapter.Adapter, c configuration, pool *peer.Pool, claims *claim.Claimer, metrics *telemetry.RequestMetrics, logger *zap.Logger) *entry.Entry {
+	func(s settings.Settings, a adapter.Adapter, c configuration, pool *peer.Pool, claims *claim.Claimer, limiter *quota.Limiter, metrics *telemetry.RequestMetrics, logger *zap.Logger) *entry.Entry {
 		locality := balance.Locality{Host: s.Host, Zone: s.Zone, Region: s.Region}
 		conventions := entry.DefaultConventions
 		if s.Configuration.Source == settings.SourceOperator {
@@ -59,6 +60,7 @@
 			Configuration:   c,
 			Dialer:          dialer{pool},
 			Claims:          claims,
+			Limiter:         limiter,
 			AttemptObserver: metrics,
 			RequestObserver: metrics,
 			Log:             logger.Named("entry"),
--- a/mesh/entry/entry.go
+++ b/mesh/entry/entry.go
@@ -66,6 +66,8 @@
 	Dialer        Dialer
 	// Claims records the claims of keyed requests; without it keyed requests are refused.
 	Claims Claims
+	// Limiter limits the requests of tenants; without it there is no limit.
+	Limiter Limiter
 	// AttemptObserver receives every attempt; it may be nil.
 	AttemptObserver AttemptObserver
 	// RequestObserver receives the result of every request that matched a route; it may be nil.
--- a/mesh/entry/reason.go
+++ b/mesh/entry/reason.go
@@ -32,6 +32,8 @@
 	// ReasonLimit means that the entry has too many connections, or that the request exceeds a
 	// limit of the target's host.
 	ReasonLimit Reason = "limit"
+	// ReasonTenantLimit means that the tenant's requests exceed its rate limit.
+	ReasonTenantLimit Reason = "tenant-limit"
 	// ReasonUnreachable means that no stream to the host could be opened.
 	ReasonUnreachable Reason = "unreachable"
 	// ReasonLocalLimit means that this daemon is short of descriptors, or of streams to the host.
@@ -115,7 +117,7 @@
 		return http.StatusRequestEntityTooLarge
 	case ReasonHeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
-	case ReasonLimit:
+	case ReasonLimit, ReasonTenantLimit:
 		return http.StatusTooManyRequests
 	case ReasonLoop:
 		return http.StatusLoopDetected
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -25,7 +25,8 @@
 	requestID string
 	snapshot  *revision.Snapshot
 	route     *revision.Route
-	service   string // of the route, or drawn from the route's split
+	tenant    *revision.Tenant // nil if none
+	service   string           // of the route, or drawn from the route's split
 	hops      uint32
 	startedAt time.Time
 	deadline  time.Time
@@ -47,12 +48,14 @@
 	// attemptsWithoutTarget counts the attempts that a host refused because it had no target.
 	attemptsWithoutTarget int
 	claim                 *requestClaim // nil unless the route is keyed
+	holdsToken            bool          // see admitTenantLimit
 
 	triedHostsArray [retry.MaxAttempts]string
 }
 
 // serve runs the request to its end and responds to the caller.
 func (c *callerRequest) serve() {
+	defer c.returnToken()
 	c.ctx = c.dispatchContext()
 	c.headers = requestHeaders(c)
 	if failed := c.acquireClaim(); failed != nil {
@@ -100,7 +103,7 @@
 			continue // it cost no target anything
 		}
 		c.triedHosts = append(c.triedHosts, offer.Endpoint.Host)
-		if !c.awaitRetry(failed, plan.budget) {
+		if !c.awaitRetry(failed, plan.budget) || !c.renewToken() {
 			return worst
 		}
 		c.logRetry(failed)
@@ -224,6 +227,7 @@
 		attempt:  c.entry.lastAttemptID.Add(1),
 	}
 	failed := e.run()
+	c.spendToken(failed)
 	e.recordHealth(failed)
 	if failed == nil || !failed.byAdmission || !offer.Bounded {
 		c.attempts++
--- a/mesh/settings/load_test.go
+++ b/mesh/settings/load_test.go
@@ -52,11 +52,11 @@
 			"line 3: runtime.gcPercent: must be at least 10, not 5",
 			"line 3: runtime.memoryLimit: must be at least 16777216, not 1"}},
 		{"wrong type is reported once", `"bzh-1"`, `1`, []string{"line 3: host: must be a string"}},
-		{"several problems", "\"host\": \"bzh-1\",\n\t\"zone\"", "\"hots\": \"bzh-1\",\n\t\"zone\": \"\",\n\t\"zones\"", []string{
+		{"several problems", "\"host\": \"bzh-1\",\n\t\"zone\"", "\"hots\": \"bzh-1\",\n\t\"zone\": \"\",\n\t\"zonez\"", []string{
 			"line 1: host: is required",
 			"line 3: hots: unknown field; allowed: host, zone, region,",
 			"line 4: zone: is required",
-			"line 5: zones: unknown field"}},
+			"line 5: zonez: unknown field"}},
 		{"syntax error", `"host"`, `host`, []string{"line 3: column 2: "}},
 	}
 	for _, c := range cases {
--- a/mesh/settings/settings.go
+++ b/mesh/settings/settings.go
@@ -11,6 +11,10 @@
 	Zone   string `json:"zone" validate:"required,name"`
 	Region string `json:"region" validate:"required,name"`
 
+	// Zones are the availability zones of the deployment. The limits of tenants are divided among them, also
+	// while no daemon of a zone is known. Those of known daemons are added.
+	Zones []string `json:"zones" validate:"dive,name"`
+
 	// Service is the service of the target on this host. The entry states it as the origin of
 	// requests; if it is empty, no origin is stated.
 	Service string `json:"service"`
