--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -21,6 +21,7 @@
 	"sassafrasnotch.example/mesh/membership"
 	"sassafrasnotch.example/mesh/outcomes"
 	"sassafrasnotch.example/mesh/peer"
+	"sassafrasnotch.example/mesh/quota"
 	"sassafrasnotch.example/mesh/report"
 	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/steperr"
@@ -55,6 +56,7 @@
 	Recorder      *report.Recorder
 	Credentials   *tlsCredentials
 	Ports         *acceptor.Ports
+	Quota         *quota.Limiter
 }
 
 // lifecycle starts the components in the order of their dependencies and stops them so that no
@@ -130,7 +132,9 @@
 		l.Entry.SetEvacuated(zones)
 		log.logChange(zones, knownZones(l.Settings.Zone, l.Members.Members()))
 	})
+	l.Configuration.OnApply(l.Quota.SetSnapshot)
 	l.Members.OnChange(l.Entry.SetMembers)
+	l.Members.OnChange(l.Quota.SetMembers)
 	l.Members.OnChange(newMemberLog(l.Logger.Named("membership")).logChanges)
 	l.Members.OnNewerRevision(l.Configuration.ObserveRevision)
 	l.Members.OnUpdate(l.Updates.apply)
@@ -148,6 +152,7 @@
 	l.background.Go(func() { l.Controller.Run(ctx) })
 	l.background.Go(func() { l.Recorder.Run(ctx) })
 	l.background.Go(func() { l.runTicks(ctx) })
+	l.background.Go(func() { l.Quota.Run(ctx) })
 	l.background.Go(func() { l.Credentials.run(ctx, l.Logger.Named("security")) })
 	l.background.Go(func() {
 		l.Claims.RunSweeps(ctx, claim.Self{Host: l.Settings.Host, Zone: l.Settings.Zone}, l.Members)
@@ -215,6 +220,7 @@
 	l.Logger.Info("daemon leaving")
 	l.EntryServer.RunLameDuck(drainCtx)
 	l.Members.Leave()
+	l.Quota.Leave()
 	var errs []error
 	var group sync.WaitGroup
 	var mu sync.Mutex
--- a/mesh/daemon/requests.go
+++ b/mesh/daemon/requests.go
@@ -20,6 +20,7 @@
 	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/membership"
 	"sassafrasnotch.example/mesh/peer"
+	"sassafrasnotch.example/mesh/quota"
 	"sassafrasnotch.example/mesh/report"
 	"sassafrasnotch.example/mesh/settings"
 	"sassafrasnotch.example/mesh/telemetry"
@@ -47,7 +48,7 @@
 		self := claim.Self{Host: identity.Host, Zone: identity.Zone}
 		return claim.NewZoned(self, members, pool, backing, logger.Named("claim"))
 	},
-	func(s settings.Settings, a adapter.Adapter, c configuration, pool *peer.Pool, claims *claim.Claimer, parents *nested.Parents, metrics *telemetry.RequestMetrics, logger *zap.Logger) *entry.Entry {
+	func(s settings.Settings, a adapter.Adapter, c configuration, pool *peer.Pool, claims *claim.Claimer, parents *nested.Parents, limiter *quota.Limiter, metrics *telemetry.RequestMetrics, logger *zap.Logger) *entry.Entry {
 		locality := balance.Locality{Host: s.Host, Zone: s.Zone, Region: s.Region}
 		conventions := entry.DefaultConventions
 		if s.Configuration.Source == settings.SourceOperator {
@@ -65,6 +66,7 @@
 			Dialer:            dialer{pool},
 			Claims:            claims,
 			Parents:           parents,
+			Limiter:           limiter,
 			AttemptObserver:   metrics,
 			RequestObserver:   metrics,
 			Log:               logger.Named("entry"),
--- a/mesh/entry/admit.go
+++ b/mesh/entry/admit.go
@@ -34,6 +34,7 @@
 	}
 	steps := []func() *failure{
 		c.admitRoute, c.admitTenant, c.admitShare, c.admitHeader, c.admitHops, c.admitDeadline, c.admitBody,
+		c.admitTenantLimit,
 	}
 	for _, step := range steps {
 		if failed := step(); failed != nil {
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -53,12 +53,14 @@
 	attemptsWithoutTarget int
 	evacuations           int           // see leftEvacuation
 	claim                 *requestClaim // nil unless the route is keyed
+	holdsToken            bool          // see admitTenantLimit
 
 	triedHostsArray [retry.MaxAttempts]string
 }
 
 // serve runs the request to its end and responds to the caller.
 func (c *callerRequest) serve() {
+	defer c.returnToken()
 	c.ctx = c.dispatchContext()
 	c.headers = requestHeaders(c)
 	c.detectNested()
@@ -113,7 +115,7 @@
 			continue // it cost no target anything
 		}
 		c.triedHosts = append(c.triedHosts, offer.Endpoint.Host)
-		if !c.awaitRetry(failed, plan.budget) {
+		if !c.awaitRetry(failed, plan.budget) || !c.renewToken() {
 			return worst
 		}
 		c.logRetry(failed)
@@ -239,6 +241,7 @@
 		attempt:  c.entry.lastAttemptID.Add(1),
 	}
 	failed := e.run()
+	c.spendToken(failed)
 	e.recordHealth(failed)
 	if failed == nil || !failed.byAdmission || !offer.Bounded {
 		c.attempts++
--- a/mesh/settings/template_test.go
+++ b/mesh/settings/template_test.go
@@ -19,7 +19,16 @@
 func renderTemplate(t *testing.T, values map[string]string, other func(placeholder string) string) []byte {
 	t.Helper()
 	template, err := os.ReadFile("../../deploy/settings.json.tmpl")
-	is.New(t).NoErr(err)
+	is := is.New(t)
+	is.NoErr(err)
+	// A section repeats its content for each entry of a table; {{@}} is the key.
+	zones := regexp.MustCompile(`{{#Zones}}(.*){{/Zones}}`).FindSubmatch(template)
+	is.True(zones != nil)
+	section := ""
+	for _, entry := range []struct{ key, comma string }{{"a", ","}, {"b", ","}, {"c", ""}} {
+		section += strings.NewReplacer("{{@}}", entry.key, "{{,}}", entry.comma).Replace(string(zones[1]))
+	}
+	template = []byte(strings.Replace(string(template), string(zones[0]), section, 1))
 	return regexp.MustCompile(`{{(.+?)}}`).ReplaceAllFunc(template, func(placeholder []byte) []byte {
 		if value, ok := values[string(placeholder[2:len(placeholder)-2])]; ok {
 			return []byte(value)
@@ -45,6 +54,7 @@
 		is.NoErr(err)
 		is.NoErr(settings.Validate())
 		is.True(settings.Entry.Retry.FleetReserve >= 6)
+		is.Equal(settings.Zones, []string{"a", "b", "c"})
 		is.True(bool(settings.Configuration.StrictKeys))
 		is.True(settings.Configuration.KeysValidWithin.Std() >= 6*time.Millisecond)
 	}
