coord/quota: daemons that restart while cut off; tokens across panics

An attempt that ended in a panic gave back its token though a target may have run the request; the token is used before the attempt now.

--- a/coord/quota/coordinator.go
+++ b/coord/quota/coordinator.go
@@ -9,6 +9,7 @@
 	leaving   bool
 	// known is the number of daemons in the zone among which its limit is divided.
 	known     int
+	alone     bool // known is a guess
 	reporters map[string]*reporter
 	buckets   map[string]*bucket
 	counted   int           // reporters that count at present
@@ -43,12 +44,15 @@
 	}
 }
 
-// SetMembers sets the numbers of members of the zone: those known, and those of them that are not dead.
-// Dead ones count, since they may serve beyond a network partition. While fewer than half of a larger
-// number known before remain, that number applies: the others were more likely cut off than removed.
-func (c *Coordinator) SetMembers(known, alive int) {
-	if known >= c.known || 2*alive >= c.known {
-		c.known = known
+// SetView applies the member list. Dead members of the zone count, since they may serve beyond a network
+// partition. While fewer than half of a larger number known before remain, that number applies: the others
+// were more likely cut off than removed.
+func (c *Coordinator) SetView(view *View) {
+	if view.Alone && c.known > 0 && !c.alone {
+		return
+	}
+	if c.alone || view.Known >= c.known || 2*view.Alive >= c.known {
+		c.known, c.alone = view.Known, view.Alone
 	}
 }
 
--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -162,6 +162,17 @@
 	})
 }
 
+// Daemons that restart while they are cut off know no others, and must not take themselves for the fleet.
+func TestRestartWhileCutOff(t *testing.T) {
+	runTenth(t, 0, func(s *sim, affected []*simNode) {
+		for i, n := range affected {
+			n.group = i + 1
+			s.at(s.now+second, n.start)
+		}
+		s.at(faultAt+8*second, s.heal)
+	})
+}
+
 // A zone that is cut off uses its own part, and the other zones theirs.
 func TestZoneCutOff(t *testing.T) {
 	for _, zone := range []string{"a", "b", "c"} {
--- a/coord/quota/quota.go
+++ b/coord/quota/quota.go
@@ -81,3 +81,47 @@
 	// Soon means that the coordinator is about to borrow tokens: the requests wait and ask again.
 	Soon bool
 }
+
+// ShareReport is the demand at a coordinator. The root may lend the coordinator's own part of each listed
+// tenant's limit to others if it is pledged.
+type ShareReport struct {
+	Host, Zone            string
+	Incarnation, Sequence uint64
+	Part                  float64 // of the zone's limit
+	Pledge                bool
+	Demands               []TenantDemand
+	// Wanted are the tokens to be lent at once, by tenant.
+	Wanted []Wanted
+}
+
+// Wanted asks the root for tokens of its own bucket.
+type Wanted struct {
+	Tenant string
+	Tokens int
+}
+
+// Loan answers Wanted. RetryAfter is set if there were fewer tokens: the time until the root may have one.
+type Loan struct {
+	Tenant     string
+	Tokens     int
+	RetryAfter time.Duration
+}
+
+// TenantDemand is the demand for one tenant, in requests per second.
+type TenantDemand struct {
+	Tenant  string
+	Offered float64
+}
+
+// ShareReply lends parts of limits to the sender of a ShareReport that pledged its own.
+type ShareReply struct {
+	NotRoot bool
+	Shares  []TenantShare
+	Loans   []Loan
+}
+
+// TenantShare is a part of a tenant's limit.
+type TenantShare struct {
+	Tenant string
+	Share  float64
+}
--- a/coord/quota/sim_test.go
+++ b/coord/quota/sim_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"sassafrasnotch.example/coord/gossip"
@@ -43,6 +42,7 @@
 	alive                  bool
 	startedAt, frozenUntil time.Duration
 	unreachable            map[*simNode]time.Duration
+	known                  map[*simNode]bool // since the start
 	incarnation            uint64
 	client                 *Client
 	coordinator            *Coordinator
@@ -183,6 +183,7 @@
 	n.coordinator = NewCoordinator(s.now, s.random.Float64, n.shares.Entitlement)
 	n.coordinator.SetLimits(s.now, s.limits)
 	n.waiting = make(map[*Waiter]func(bool))
+	n.known = make(map[*simNode]bool)
 	n.updateView()
 	incarnation := n.incarnation
 	s.at(s.now+time.Second, func() { s.changed() })
@@ -343,6 +344,7 @@
 		for _, other := range s.nodes {
 			if other.works() && other.group == n.group && s.now-other.startedAt >= time.Second && s.now-n.startedAt >= time.Second {
 				delete(n.unreachable, other)
+				n.known[other] = true
 			} else if _, ok := n.unreachable[other]; !ok && s.now-n.startedAt >= time.Second {
 				n.unreachable[other] = s.now
 			}
@@ -355,8 +357,8 @@
 	s := n.sim
 	var members []gossip.Member
 	for _, other := range s.nodes {
-		if s.now-n.startedAt < time.Second && other != n {
-			continue // it knows nobody yet
+		if !n.known[other] && other != n {
+			continue
 		}
 		member := gossip.Member{Record: gossip.Record{Host: other.host, Zone: other.zone}}
 		if since, ok := n.unreachable[other]; ok && s.now-since > 6*time.Second {
@@ -368,7 +370,7 @@
 	}
 	view := NewView(n.host, n.zone, s.zones, members)
 	n.client.SetCandidates(view.Candidates)
-	n.coordinator.SetMembers(view.Known, view.Alive)
+	n.coordinator.SetView(&view)
 	n.shares.SetZones(view.Zones, view.Coordinators)
 }
 
@@ -381,75 +383,3 @@
 		}
 	}
 }
-
-// worst returns the largest part of the bound that any tenant used in a window that lies in the interval,
-// without and with the slack.
-func (s *sim) worst(from, to time.Duration) (withoutSlack, withSlack float64, name string) {
-	for _, t := range s.tenants {
-		limit := s.limits[t.name]
-		allowed := (limit.Rate*testWindow.Seconds() + limit.Burst) * (1 + testOverage)
-		first, count := 0, 0
-		for i, at := range t.served {
-			for t.served[first] <= at-testWindow {
-				first++
-			}
-			if t.served[first] < from || at > to {
-				continue
-			}
-			count = max(count, i-first+1)
-		}
-		if used := float64(count) / (allowed + testSlack); used > withSlack {
-			withSlack, name = used, t.name
-		}
-		withoutSlack = max(withoutSlack, float64(count)/allowed)
-	}
-	return withoutSlack, withSlack, name
-}
-
-// share returns the requests served in the interval as a part of those that one bucket for the whole fleet,
-// without delay or failure, would have served.
-func (s *sim) share(from, to time.Duration, include func(*simTenant) bool) float64 {
-	served, possible := 0, 0
-	for _, t := range s.tenants {
-		if !include(t) {
-			continue
-		}
-		limit := s.limits[t.name]
-		level, last := limit.Burst, time.Duration(0)
-		for _, at := range t.arrived {
-			level = min(limit.Burst, level+limit.Rate*(at-last).Seconds())
-			last = at
-			if level >= 1 {
-				level--
-				if at >= from && at < to {
-					possible++
-				}
-			}
-		}
-		for _, at := range t.served {
-			if at >= from && at < to {
-				served++
-			}
-		}
-	}
-	return float64(served) / float64(max(possible, 1))
-}
-
-func all(*simTenant) bool { return true }
-
-// heal ends all network partitions.
-func (s *sim) heal() {
-	for _, n := range s.nodes {
-		n.group = 0
-	}
-	s.changed()
-}
-
-// coordinatorsFirst returns the daemons in the order of the present coordinators, then the others.
-func (s *sim) coordinatorsFirst() []*simNode {
-	nodes := append([]*simNode(nil), s.nodes...)
-	sort.SliceStable(nodes, func(i, j int) bool {
-		return nodes[i].coordinator.Part(s.now) > nodes[j].coordinator.Part(s.now)
-	})
-	return nodes
-}
--- a/coord/quota/view.go
+++ b/coord/quota/view.go
@@ -8,12 +8,18 @@
 // maxRoots is the number of hosts of a zone that others try as root before they turn to the next zone.
 const maxRoots = 2
 
+// unknownZoneSize is the number of daemons that a daemon assumes in its zone while it knows no other daemon at
+// all, as one that restarts while it is cut off. It is more than the zones of today's deployments have.
+const unknownZoneSize = 64
+
 // View is what a member list tells about the coordinators.
 type View struct {
 	// Candidates are the hosts of the zone that may be its coordinator, the preferred one first.
 	Candidates []string
 	// Known are the members of the zone that are not leaving, and Alive those of them that are not dead.
 	Known, Alive int
+	// Alone means that no other daemon is known though the settings list other zones. Known is a guess then.
+	Alone bool
 	// Coordinators are the hosts that may be the coordinators, by zone, the preferred ones first.
 	Coordinators map[string][]string
 	// Zones is the number of zones.
@@ -28,6 +34,7 @@
 	for _, name := range zones {
 		names[name] = true
 	}
+	others := 0
 	available := map[string][]string{zone: {self}}
 	for i := range members {
 		member := &members[i]
@@ -35,6 +42,7 @@
 		if member.Leaving || member.Host == self {
 			continue
 		}
+		others++
 		if member.Zone == zone {
 			view.Known++
 			if member.Status != gossip.Dead {
@@ -50,5 +58,8 @@
 	}
 	view.Candidates = rendezvous.Top("quota/"+zone, available[zone], maxCandidates)
 	view.Zones = len(names)
+	if others == 0 && len(names) > 1 {
+		view.Alone, view.Known = true, unknownZoneSize
+	}
 	return view
 }
--- a/mesh/entry/request.go
+++ b/mesh/entry/request.go
@@ -226,8 +226,9 @@
 		offer:    offer,
 		attempt:  c.entry.lastAttemptID.Add(1),
 	}
+	token := c.useToken()
 	failed := e.run()
-	c.spendToken(failed)
+	c.keepToken(token, failed)
 	e.recordHealth(failed)
 	if failed == nil || !failed.byAdmission || !offer.Bounded {
 		c.attempts++
--- a/mesh/entry/tenantlimit.go
+++ b/mesh/entry/tenantlimit.go
@@ -47,11 +47,16 @@
 	return c.holdsToken, retryAfter
 }
 
-// spendToken records that an attempt used the request's token, unless the attempt reached no target.
-func (c *callerRequest) spendToken(failed *failure) {
-	if failed == nil || failed.outcome != retry.Refused {
-		c.holdsToken = false
-	}
+// useToken lets an attempt use the request's token. It is called before the attempt, which may end in a panic,
+// and keepToken after it.
+func (c *callerRequest) useToken() (used bool) {
+	used, c.holdsToken = c.holdsToken, false
+	return used
+}
+
+// keepToken gives the request its token again if the attempt reached no target.
+func (c *callerRequest) keepToken(used bool, failed *failure) {
+	c.holdsToken = used && failed != nil && failed.outcome == retry.Refused
 }
 
 // renewToken takes a token for another attempt, unless the one of the attempt before was not used. It
--- a/mesh/entry/tenantlimit_test.go
+++ b/mesh/entry/tenantlimit_test.go
@@ -72,10 +72,10 @@
 	limiter := &bucketLimiter{tokens: 2}
 	c := newLimitedRequest(t, limiter)
 	is.Equal(c.admitTenantLimit(), nil)
-	c.spendToken(refused(ReasonOverloaded, stepAwait, ""))
+	c.keepToken(c.useToken(), refused(ReasonOverloaded, stepAwait, ""))
 	is.True(c.renewToken())
 	is.Equal(limiter.tokens, 1) // the first token is still there
-	c.spendToken(unknown(ReasonLost, stepAwait, ""))
+	c.keepToken(c.useToken(), unknown(ReasonLost, stepAwait, ""))
 	is.True(c.renewToken())
 	is.Equal(limiter.tokens, 0)
 	c.returnToken()
@@ -91,7 +91,7 @@
 	c := newLimitedRequest(t, limiter)
 	c.tenant = nil
 	is.Equal(c.admitTenantLimit(), nil)
-	c.spendToken(nil)
+	c.keepToken(c.useToken(), nil)
 	is.True(c.renewToken())
 	c.returnToken()
 	is.Equal(limiter.returned, 0)
--- a/mesh/quota/limiter.go
+++ b/mesh/quota/limiter.go
@@ -87,7 +87,7 @@
 		l.addresses[members[i].Host] = members[i].PeerAddress
 	}
 	l.client.SetCandidates(view.Candidates)
-	l.coordinator.SetMembers(view.Known, view.Alive)
+	l.coordinator.SetView(&view)
 	l.shares.SetZones(view.Zones, view.Coordinators)
 }
 
