integration: kill the daemon that divides a tenant's limit

TestTenantLimitHoldsOverRestarts killed no coordinator on purpose. It reads from the metrics who divides the limits and kills that daemon for 2 s.

--- a/integration/platform_tenant_limit_test.go
+++ b/integration/platform_tenant_limit_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"regexp"
 	"slices"
 	"sync"
 	"testing"
@@ -12,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"sassafrasnotch.example/integration/cluster"
 	"sassafrasnotch.example/platform/wire"
 )
 
@@ -47,6 +49,15 @@
 		senders.Go(func() { log.flood(ctx, p.client, "http://"+d.Settings.Entry.Listen) })
 	}
 	time.Sleep(5 * time.Second)
+	killed := limitCoordinator(p.Daemons, "zones") // the one that divides the limit between the zones
+	if killed == nil {
+		killed = limitCoordinator(p.Daemons, "zone")
+	}
+	if killed != nil { // else the checks below tell
+		killed.Kill()
+		time.Sleep(2 * time.Second)
+		killed.Launch()
+	}
 	for i := range 3 {
 		p.Daemons[2*i].Restart() // one daemon of each zone
 		time.Sleep(time.Second)
@@ -59,10 +70,22 @@
 	bound := (tenantRate*limitWindow.Seconds()+tenantBurst)*(1+limitOverage) + limitSlack
 	t.Logf("%d served in all, at most %d in a window of %v (bound %.0f); %d refused with 429", len(log.served), most, limitWindow, bound, limited)
 	is.True(float64(most) <= bound)
+	is.True(killed != nil)
 	is.True(len(log.served) > 0) // the limit serves something
 	is.True(limited > 0)         // and it refuses something
 }
 
+// limitCoordinator returns a daemon that coordinates the limits of tenants in its zone, or between zones.
+func limitCoordinator(daemons []*cluster.Daemon, scope string) *cluster.Daemon {
+	line := regexp.MustCompile(`(?m)^sassafras_tenant_limit_coordinator\{[^}]*scope="` + scope + `"[^}]*\} 1$`)
+	for _, d := range daemons {
+		if page, err := d.Metrics(); err == nil && line.MatchString(page) {
+			return d
+		}
+	}
+	return nil
+}
+
 // servedLog records when requests were served, and how many were refused with 429.
 type servedLog struct {
 	mutex   sync.Mutex
