--- a/coord/quota/client.go
+++ b/coord/quota/client.go
@@ -99,7 +99,7 @@
 	case len(t.waiters) == 0 && t.take(now):
 		w.Decided, w.Granted = true, true
 	case now < t.emptyUntil:
-		w.Decided, w.RetryAfter = true, t.retryAfter
+		w.Decided, w.RetryAfter = true, t.spreadRetryAfter()
 	default:
 		t.waiters = append(t.waiters, w)
 	}
@@ -110,7 +110,7 @@
 func (c *Client) Abandon(w *Waiter) {
 	t := c.tenant(w.tenant)
 	t.waiters = slices.DeleteFunc(t.waiters, func(other *Waiter) bool { return other == w })
-	w.Decided, w.RetryAfter = true, t.retryAfter
+	w.Decided, w.RetryAfter = true, t.spreadRetryAfter()
 }
 
 // Return gives back the token of a request that no target ran. Only a token that has not expired is of use
--- a/coord/quota/tokens.go
+++ b/coord/quota/tokens.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -23,6 +24,7 @@
 	offered    float64 // per second
 	emptyUntil time.Duration
 	retryAfter time.Duration
+	refused    int // since the start
 }
 
 type tokens struct {
@@ -43,6 +45,16 @@
 	return slices.Insert(list, i, added)
 }
 
+// spreadRetryAfter returns the time after which a request that is refused now is worth another try. It is one
+// to two times that of the coordinator, spread evenly, so that requests refused together do not come back
+// together.
+func (t *tenantTokens) spreadRetryAfter() time.Duration {
+	const goldenRatio = 0.6180339887498949 // its multiples are spread evenly modulo 1
+	t.refused++
+	_, spread := math.Modf(float64(t.refused) * goldenRatio)
+	return time.Duration(float64(t.retryAfter) * (1 + spread))
+}
+
 // take uses a token and reports whether there was one.
 func (t *tenantTokens) take(now time.Duration) bool {
 	t.expire(now)
@@ -98,7 +110,7 @@
 		w.Granted = t.take(now)
 		if w.Decided = w.Granted || i < t.asked; w.Decided {
 			if !w.Granted {
-				w.RetryAfter = t.retryAfter
+				w.RetryAfter = t.spreadRetryAfter()
 			}
 			decided = append(decided, w)
 		} else {
