--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -59,7 +59,14 @@
 				s.overload(factor)
 				s.load(endAt)
 				prepare(s)
+				var large, small float64
+				s.watchParts(s.tenants[0].name, &large)
+				s.watchParts(s.tenants[40].name, &small)
 				s.runUntil(endAt)
+				t.Logf("parts in use exceed the limit by %.3f and %.3f s of its rate", large, small)
+				if allowed := testOverage * testWindow.Seconds(); max(large, small) > allowed {
+					t.Errorf("the parts in use exceed the limit by more than %.2f s of its rate in the whole run", allowed)
+				}
 				checkBound(t, s, 0)
 				if factor == 1 {
 					checkShare(t, s, faultAt, endAt, least)
--- a/coord/quota/measure_test.go
+++ b/coord/quota/measure_test.go
@@ -76,3 +76,17 @@
 	})
 	return nodes
 }
+
+// watchParts adds up what the parts of a tenant's limit in use exceed the limit, in seconds of its rate. Parts
+// overlap for the time of a message while they change hands.
+func (s *sim) watchParts(tenant string, excess *float64) {
+	const interval = 10 * time.Millisecond
+	sum := 0.0
+	for _, n := range s.nodes {
+		if n.works() {
+			sum += n.shares.Entitlement(s.now, tenant, n.coordinator.Part(s.now))
+		}
+	}
+	*excess += max(sum-1, 0) * interval.Seconds()
+	s.at(s.now+interval, func() { s.watchParts(tenant, excess) })
+}
