--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -50,13 +50,23 @@
 	}
 	for _, daemons := range sizes {
 		for _, factor := range []float64{1, excess} {
+			if daemons == 300 && factor > 1 && os.Getenv(largeFleets) == "" {
+				continue
+			}
 			t.Run(fmt.Sprintf("%d daemons, demand %.0f", daemons, factor), func(t *testing.T) {
 				t.Parallel()
 				s := newSim(daemons, 76, 10*float64(daemons), 1)
 				s.overload(factor)
 				s.load(endAt)
 				prepare(s)
+				var large, small float64
+				s.watchParts(s.tenants[0].name, &large)
+				s.watchParts(s.tenants[40].name, &small)
 				s.runUntil(endAt)
+				t.Logf("parts in use exceed the limit by %.3f and %.3f s of its rate", large, small)
+				if allowed := testOverage * testWindow.Seconds(); max(large, small) > allowed {
+					t.Errorf("the parts in use exceed the limit by more than %.2f s of its rate in the whole run", allowed)
+				}
 				checkBound(t, s, 0)
 				if factor == 1 {
 					checkShare(t, s, faultAt, endAt, least)
@@ -159,6 +169,17 @@
 	})
 }
 
+// Daemons that restart while they are cut off know no others, and must not take themselves for the fleet.
+func TestRestartWhileCutOff(t *testing.T) {
+	runTenth(t, 0, func(s *sim, affected []*simNode) {
+		for i, n := range affected {
+			n.group = i + 1
+			s.at(s.now+second, n.start)
+		}
+		s.at(faultAt+8*second, s.heal)
+	})
+}
+
 // A zone that is cut off uses its own part, and the other zones theirs.
 func TestZoneCutOff(t *testing.T) {
 	for _, zone := range []string{"a", "b", "c"} {
