Wake the queue when a target has ended a given-up request, and report their number

A slot that opened because the target had ended a request that was given up stayed idle until the next tick of the exit, up to 250 ms. NextRun now names that time too. A request that was refused while it waited carried no time to come back; it carries the delay of the queue, as one refused on arrival does. Status and metrics show the requests that targets may still hold (sassafras_target_abandoned).

Measured: coord/admission and mesh/exit pass (TestAbandonedRequestsCountUntilTheTargetHasEndedThem checks the time).

--- a/coord/admission/held.go
+++ b/coord/admission/held.go
@@ -76,3 +76,13 @@
 	}
 	return heldPerSlot*t.config.Slots - t.Abandoned(now)
 }
+
+// nextRoom returns the time until the target has ended the next request that was given up. It reports false
+// if no such request keeps a slot closed.
+func (t *Target) nextRoom(now time.Time) (time.Duration, bool) {
+	if len(t.held.abandoned) == 0 || t.outstanding >= t.warmSlots(now) || t.outstanding < t.heldRoom(now) {
+		return 0, false
+	}
+	first := slices.MinFunc(t.held.abandoned, func(a, b abandonedRequest) int { return a.until.Compare(b.until) })
+	return first.until.Sub(now), true
+}
--- a/coord/admission/held_test.go
+++ b/coord/admission/held_test.go
@@ -155,9 +155,9 @@
 // that count although the target has ended them.
 func TestAbandonedRequestsCountUntilTheTargetHasEndedThem(t *testing.T) {
 	is := is.New(t)
-	target := admission.NewTarget(admission.Config{Slots: 2, CountHeld: true}, start)
+	target := admission.NewTarget(admission.Config{Slots: 2, QueueLength: 1, CountHeld: true}, start)
 	run := func(id uint64, now time.Time) admission.Verdict {
-		action, _ := target.Submit(admission.Request{ID: id, Deadline: now.Add(time.Minute)}, now)
+		action, _ := target.Submit(admission.Request{ID: id, Deadline: now.Add(time.Minute), Bounded: true}, now)
 		return action.Verdict
 	}
 	is.Equal(run(1, start), admission.Run)
@@ -167,6 +167,12 @@
 		target.Abandon("", 0, at(time.Second), start)
 	}
 	is.Equal(target.Abandoned(start), 4)
+	waiting, _ := target.Submit(admission.Request{ID: 19, Deadline: at(time.Minute)}, start)
+	is.Equal(waiting.Verdict, admission.Wait)
+	next, ok := target.NextRun(start)
+	is.True(ok)
+	is.Equal(next, 1200*time.Millisecond) // the deadline and two service times
+	is.True(target.Cancel(19))
 	is.Equal(run(20, start), admission.Refuse)
 	is.Equal(run(21, at(time.Second)), admission.Refuse) // those that it runs
 	is.Equal(run(22, at(1201*time.Millisecond)), admission.Run)
--- a/coord/admission/rate.go
+++ b/coord/admission/rate.go
@@ -18,12 +18,15 @@
 // CountRepeat counts a request that reaches the target a second time on the same slot.
 func (t *Target) CountRepeat(now time.Time) { t.pacer.take(now) }
 
-// NextRun returns the time until the next queued request may run by the rate. It reports false if none
-// is queued or a slot has to become free first.
+// NextRun returns the time until the next queued request may run by the rate, or because the target has
+// ended a request that was given up. It reports false if none is queued or a slot has to become free first.
 func (t *Target) NextRun(now time.Time) (time.Duration, bool) {
-	if len(t.queue) == 0 || t.outstanding >= t.openSlots(now) {
+	if len(t.queue) == 0 {
 		return 0, false
 	}
+	if t.outstanding >= t.openSlots(now) {
+		return t.nextRoom(now)
+	}
 	return t.pacer.delay(0, now), true
 }
 
--- a/mesh/admin/api.go
+++ b/mesh/admin/api.go
@@ -93,6 +93,9 @@
 	Outstanding int    `json:"outstanding"`
 	// Queued is the number of requests that wait for a slot. Only the host of the target knows it.
 	Queued int `json:"queued,omitempty"`
+	// Abandoned is the number of requests that were given up and that the target may still hold. Only the
+	// host of the target knows it.
+	Abandoned int `json:"abandoned,omitempty"`
 	// Rate is the number of requests per second that the target takes; absent if it names none.
 	Rate *float64 `json:"rate,omitempty"`
 }
--- a/mesh/daemon/metrics.go
+++ b/mesh/daemon/metrics.go
@@ -28,7 +28,7 @@
 
 	configurationAge, confirmedAge                  metric.Float64ObservableGauge
 	remainingRetries, targetRate                    metric.Float64ObservableGauge
-	queued                                          metric.Int64ObservableGauge
+	queued, abandoned                               metric.Int64ObservableGauge
 	storeFailures                                   metric.Int64ObservableCounter
 	appliedRevision, latestRevision, storeReachable metric.Int64ObservableGauge
 	members, targets, outstanding                   metric.Int64ObservableGauge
@@ -70,6 +70,7 @@
 	g.confirmedAge = floatGauge("sassafras_configuration_confirmed_age", "s", "Time since the store confirmed the configuration held here, to this daemon or to one that it heard from")
 	g.remainingRetries = floatGauge("sassafras_retries_left", "{retry}", "Retries that remain in the budget of a service")
 	g.queued = gauge("sassafras_target_queued", "Requests that wait for a slot of targets on this host")
+	g.abandoned = gauge("sassafras_target_abandoned", "Requests that were given up and that targets on this host may still hold")
 	g.storeFailures = counter("sassafras_platform_failures", "{request}", "Failed operations at the platform, by kind")
 	g.appliedRevision = gauge("sassafras_revision_applied", "Configuration revision in force")
 	g.latestRevision = gauge("sassafras_revision_head", "Newest configuration revision known to exist")
@@ -91,7 +92,7 @@
 	if createErr != nil {
 		return createErr
 	}
-	_, err := meter.RegisterCallback(g.observe, g.configurationAge, g.confirmedAge, g.remainingRetries, g.queued, g.storeFailures, g.appliedRevision, g.latestRevision, g.storeReachable, g.members, g.targets, g.targetRate,
+	_, err := meter.RegisterCallback(g.observe, g.configurationAge, g.confirmedAge, g.remainingRetries, g.queued, g.abandoned, g.storeFailures, g.appliedRevision, g.latestRevision, g.storeReachable, g.members, g.targets, g.targetRate,
 		g.outstanding, g.controlledRollouts, g.callerConnections, g.controlBytes, g.storeRequests, g.droppedLines, g.acceptFailures, g.departedRequests,
 		g.descriptorLimit, g.descriptorsHeld, g.descriptorsRefused)
 	return err
@@ -168,7 +169,7 @@
 // observeTargets records the targets of this host and their requests by service, version and state.
 func (g *gauges) observeTargets(o metric.Observer, status admin.Status) {
 	counts := make(map[targetKey]int64)
-	outstanding, queued := make(map[targetKey]int64), make(map[targetKey]int64)
+	outstanding, queued, abandoned := make(map[targetKey]int64), make(map[targetKey]int64), make(map[targetKey]int64)
 	rates := make(map[targetKey]float64)
 	for _, target := range status.Targets {
 		if target.Host != status.Host {
@@ -178,6 +179,7 @@
 		counts[key]++
 		outstanding[key] += int64(target.Outstanding)
 		queued[key] += int64(target.Queued)
+		abandoned[key] += int64(target.Abandoned)
 		rate := math.Inf(1)
 		if target.Rate != nil {
 			rate = *target.Rate
@@ -193,6 +195,7 @@
 		o.ObserveInt64(g.targets, count, labels...)
 		o.ObserveInt64(g.outstanding, outstanding[key], labels...)
 		o.ObserveInt64(g.queued, queued[key], labels...)
+		o.ObserveInt64(g.abandoned, abandoned[key], labels...)
 		o.ObserveFloat64(g.targetRate, rates[key], labels...)
 	}
 }
--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -156,8 +156,11 @@
 	if action.Verdict == admission.Run {
 		return nil
 	}
+	c.exit.mu.Lock()
+	retryAfter := c.target.admission.RetryAfter(time.Now())
+	c.exit.mu.Unlock()
 	c.exit.endInFlight()
-	return refusalFor(action.Reason, 0)
+	return refusalFor(action.Reason, retryAfter)
 }
 
 // cancelWait removes the request from the queue because the deadline passed or the caller left. A
--- a/mesh/exit/announce.go
+++ b/mesh/exit/announce.go
@@ -332,6 +332,7 @@
 			Slots:       t.Slots,
 			Outstanding: load.Outstanding,
 			Queued:      load.Queued,
+			Abandoned:   t.admission.Abandoned(now),
 			Rate:        t.namedRate,
 		})
 	}
