Sort pointers in a target's queue

Each submission to a full queue sorts it, and sorting moved the requests themselves.

Measured (a trial on a whole core, 76 tenants): a request submitted to a full queue and one completed take 6.8 us with 16 positions and 27.9 us with 64, before 14.2 and 61.0. Tests of coord/admission pass; the figures of TestFloodOfOneTenantLeavesTheOthersServed are unchanged.

--- a/coord/admission/queue.go
+++ b/coord/admission/queue.go
@@ -21,31 +21,42 @@
 // rank compares two requests without regard to shares: by priority, nested ones first, those that can
 // still be in time before those that can't.
 func (q *queuedRequest) rank(other *queuedRequest) int {
-	return cmp.Or(
-		cmp.Compare(other.Priority, q.Priority),
-		compareBool(other.Nested, q.Nested),
-		compareBool(q.late, other.late),
-	)
+	switch {
+	case q.Priority != other.Priority:
+		return cmp.Compare(other.Priority, q.Priority)
+	case q.Nested != other.Nested:
+		return trueFirst(q.Nested)
+	case q.late != other.late:
+		return trueFirst(other.late)
+	}
+	return 0
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
+// trueFirst compares a value with its opposite.
+func trueFirst(value bool) int {
+	if value {
 		return -1
 	}
 	return 1
 }
 
 // byArrival orders the requests of one tenant.
-func byArrival(a, b queuedRequest) int {
-	return cmp.Or(a.rank(&b), cmp.Compare(a.arrival, b.arrival))
+func byArrival(a, b *queuedRequest) int {
+	if rank := a.rank(b); rank != 0 {
+		return rank
+	}
+	return cmp.Compare(a.arrival, b.arrival)
 }
 
 // byShare orders the requests of all tenants.
-func byShare(a, b queuedRequest) int {
-	return cmp.Or(a.rank(&b), cmp.Compare(a.start, b.start), cmp.Compare(a.arrival, b.arrival))
+func byShare(a, b *queuedRequest) int {
+	if rank := a.rank(b); rank != 0 {
+		return rank
+	}
+	if a.start != b.start {
+		return cmp.Compare(a.start, b.start)
+	}
+	return cmp.Compare(a.arrival, b.arrival)
 }
 
 // order sorts the queue into the order in which its requests run. The queue is short, so that all virtual
@@ -54,13 +65,13 @@
 	if len(t.queue) == 0 {
 		return
 	}
-	for i := range t.queue {
-		t.queue[i].late = t.isLate(&t.queue[i], now)
+	for _, q := range t.queue {
+		q.late = t.isLate(q, now)
 	}
 	slices.SortFunc(t.queue, byArrival)
 	t.flows.startPass()
-	for i := range t.queue {
-		t.queue[i].start = t.flows.nextStart(t.queue[i].Tenant, t.cost(t.queue[i].Class))
+	for _, q := range t.queue {
+		q.start = t.flows.nextStart(q.Tenant, t.cost(q.Class))
 	}
 	slices.SortFunc(t.queue, byShare)
 }
@@ -106,13 +117,13 @@
 func (t *Target) insert(r Request, now time.Time) int {
 	t.arrivals++
 	t.flows.enqueue(r.Tenant)
-	t.queue = append(t.queue, queuedRequest{Request: r, arrival: t.arrivals, since: now})
+	t.queue = append(t.queue, &queuedRequest{Request: r, arrival: t.arrivals, since: now})
 	t.order(now)
 	return t.indexOf(t.arrivals)
 }
 
 func (t *Target) indexOf(arrival uint64) int {
-	return slices.IndexFunc(t.queue, func(q queuedRequest) bool { return q.arrival == arrival })
+	return slices.IndexFunc(t.queue, func(q *queuedRequest) bool { return q.arrival == arrival })
 }
 
 // remove takes the request at a position out of the queue.
--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -117,7 +117,7 @@
 	started     time.Time
 	leaving     bool
 	outstanding int
-	queue       []queuedRequest // in the order in which they run; see order
+	queue       []*queuedRequest // in the order in which they run; see order
 	arrivals    uint64
 	flows       flows
 	service     ewma // service time over all classes
@@ -346,7 +346,7 @@
 
 // Cancel removes a request from the queue and reports whether it was queued.
 func (t *Target) Cancel(id uint64) bool {
-	i := slices.IndexFunc(t.queue, func(q queuedRequest) bool { return q.ID == id })
+	i := slices.IndexFunc(t.queue, func(q *queuedRequest) bool { return q.ID == id })
 	if i < 0 {
 		return false
 	}
