--- a/coord/balance/tenants_test.go
+++ b/coord/balance/tenants_test.go
@@ -25,7 +25,10 @@
 	work                time.Duration // mean; half of it is the same for all requests
 	objective, deadline time.Duration
 	duration            time.Duration
-	ignoreTenants       bool
+	// speed returns the speed of a host at a time; nil means 1. Rates swing by the part swing of them.
+	speed         func(host string, now time.Duration) float64
+	swing         float64
+	ignoreTenants bool
 }
 
 // tenantRequest is a request, from its arrival (host is empty) to its end.
@@ -105,8 +108,16 @@
 
 // arrive schedules the next arrival of a tenant.
 func (m *tenantModel) arrive(tenant string, after time.Duration) {
-	gap := time.Duration(m.random.ExpFloat64() / m.load.rates[tenant] * float64(time.Second))
-	heap.Push(&m.events, tenantRequest{at: after + gap, tenant: tenant})
+	const period = 13 // s
+	peak := 1 + m.load.swing
+	at := after
+	for {
+		at += time.Duration(m.random.ExpFloat64() / (peak * m.load.rates[tenant]) * float64(time.Second))
+		if m.load.swing == 0 || peak*m.random.Float64() < 1+m.load.swing*math.Sin(2*math.Pi*at.Seconds()/period) {
+			break
+		}
+	}
+	heap.Push(&m.events, tenantRequest{at: at, tenant: tenant})
 }
 
 func (m *tenantModel) place(r tenantRequest) {
@@ -151,6 +162,9 @@
 
 func (m *tenantModel) start(r tenantRequest) {
 	r.work = time.Duration((0.5 + 0.5*m.random.ExpFloat64()) * float64(m.load.work))
+	if m.load.speed != nil {
+		r.work = time.Duration(float64(r.work) / m.load.speed(r.endpoint.Host, m.now))
+	}
 	m.busy += r.work
 	r.at = m.now + r.work
 	heap.Push(&m.events, r)
