Count the rounds ahead of a given-up request without its own

The time after which a target has begun a request that was given up counted one round of slots too many, so that slots stayed closed for longer than needed.

--- a/coord/admission/held.go
+++ b/coord/admission/held.go
@@ -39,10 +39,10 @@
 	}
 	if t.config.CountHeld {
 		end := endServices * t.service.value
-		held := t.outstanding + t.Abandoned(now)
+		ahead := t.outstanding + t.Abandoned(now) - 1
 		starts := max(deadline.Sub(now), 0)
 		if t.responded {
-			starts = min(starts, end*time.Duration(held/max(t.config.Slots, 1)))
+			starts = min(starts, end*time.Duration(ahead/max(t.config.Slots, 1)))
 		}
 		t.held.abandoned = append(t.held.abandoned, abandonedRequest{class: class, at: now, until: now.Add(starts + max(end, endServices*t.cost(class)))})
 	}
