--- a/coord/admission/held.go
+++ b/coord/admission/held.go
@@ -39,10 +39,10 @@
 	}
 	if t.config.CountHeld {
 		end := endServices * t.service.value
-		held := t.outstanding + t.Abandoned(now)
+		ahead := t.outstanding + t.Abandoned(now) - 1
 		starts := max(deadline.Sub(now), 0)
 		if t.responded {
-			starts = min(starts, end*time.Duration(held/max(t.config.Slots, 1)))
+			starts = min(starts, end*time.Duration(ahead/max(t.config.Slots, 1)))
 		}
 		t.held.abandoned = append(t.held.abandoned, abandonedRequest{class: class, at: now, until: now.Add(starts + max(end, endServices*t.cost(class)))})
 	}
@@ -76,3 +76,13 @@
 	}
 	return heldPerSlot*t.config.Slots - t.Abandoned(now)
 }
+
+// nextRoom returns the time until the target has ended the next request that was given up. It reports false
+// if no such request keeps a slot closed.
+func (t *Target) nextRoom(now time.Time) (time.Duration, bool) {
+	if len(t.held.abandoned) == 0 || t.outstanding >= t.warmSlots(now) || t.outstanding < t.heldRoom(now) {
+		return 0, false
+	}
+	first := slices.MinFunc(t.held.abandoned, func(a, b abandonedRequest) int { return a.until.Compare(b.until) })
+	return first.until.Sub(now), true
+}
