--- a/integration/cluster/usage.go
+++ b/integration/cluster/usage.go
@@ -58,3 +58,6 @@
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid))
 	return len(entries), err
 }
+
+// Pid returns the process id.
+func (p *Process) Pid() int { return p.command.Process.Pid }
