Bound the memory that clients hold over all connections

Cause: net/http keeps each short header field as a map entry of more than 100 bytes, and a connection whose body or head is missing keeps them. 600 such connections took a process of 96 MB to 538 MB.

Change: connections and requests of the entry, the exit, the port between daemons and the admin and readiness ports count what they hold in coord/memory. A request that is not granted gets 503 (local-limit) before its dispatch, a head that is not granted closes its connection. The admin and readiness ports take heads of 16 KiB and bound a response to 1 min.

--- a/coord/memory/budget.go
+++ b/coord/memory/budget.go
@@ -37,7 +37,7 @@
 // Budget counts the bytes that holders hold. It is safe for concurrent use.
 //
 // Invariant: the holders that were not closed hold at most total together, and those above SmallHolding
-// receive nothing while more than total less the kept part is held.
+// receive nothing while these hold more than total less the kept part, or all together more than total.
 type Budget struct {
 	total, kept int64
 
@@ -107,6 +107,12 @@
 	limit := b.total
 	if h.held+bytes > SmallHolding {
 		limit -= b.kept
+		if b.held+bytes > b.total {
+			// Those that were closed still hold their memory until what they run has ended, which takes long on a
+			// busy machine.
+			b.refused++
+			return nil, false
+		}
 	}
 	for b.held-b.closing+bytes > limit {
 		victim := b.victim(h, now, bytes)
--- a/mesh/daemon/daemon.go
+++ b/mesh/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/acceptor"
 	"sassafrasnotch.example/mesh/adapter"
+	"sassafrasnotch.example/mesh/clientmemory"
 	"sassafrasnotch.example/mesh/distribution"
 	"sassafrasnotch.example/mesh/exit"
 	"sassafrasnotch.example/mesh/limitedconn"
@@ -52,8 +53,8 @@
 		adminModule,
 		hostsModule,
 		updatesModule,
-		fx.Provide(newReloader, newPorts, newBudget),
-		fx.Invoke(setRuntime, registerMetrics, registerLifecycle),
+		fx.Provide(newReloader, newPorts, newBudget, newClientMemory),
+		fx.Invoke(setRuntime, registerMetrics, registerMemoryMetrics, registerLifecycle),
 	}, options...)
 	return fx.New(all...)
 }
@@ -89,7 +90,7 @@
 // setRuntime applies the garbage collector settings to the process.
 func setRuntime(s settings.Settings) {
 	debug.SetGCPercent(s.Runtime.GCPercent)
-	debug.SetMemoryLimit(s.Runtime.MemoryLimit)
+	debug.SetMemoryLimit(s.Runtime.SoftLimit())
 }
 
 var telemetryModule = fx.Module("telemetry", fx.Provide(
@@ -122,8 +123,9 @@
 		}
 		return pool
 	},
-	func(identity peer.Identity, s settings.Settings, credentials *tlsCredentials, control *controlHandler, x *exit.Exit, logger *zap.Logger) *peer.Server {
+	func(identity peer.Identity, s settings.Settings, credentials *tlsCredentials, control *controlHandler, x *exit.Exit, held *clientmemory.Memory, logger *zap.Logger) *peer.Server {
 		server := peer.NewServer(identity, s.Peer, control, x, logger.Named("peer"))
+		server.UseMemory(held)
 		if credentials.peer != nil {
 			server.UseSecurity(credentials.peer)
 		}
--- a/mesh/daemon/lifecycle.go
+++ b/mesh/daemon/lifecycle.go
@@ -15,6 +15,7 @@
 	"sassafrasnotch.example/coord/revision"
 	"sassafrasnotch.example/mesh/acceptor"
 	"sassafrasnotch.example/mesh/claim"
+	"sassafrasnotch.example/mesh/clientmemory"
 	"sassafrasnotch.example/mesh/controller"
 	"sassafrasnotch.example/mesh/entry"
 	"sassafrasnotch.example/mesh/exit"
@@ -55,6 +56,7 @@
 	Recorder      *report.Recorder
 	Credentials   *tlsCredentials
 	Ports         *acceptor.Ports
+	Memory        *clientmemory.Memory
 }
 
 // lifecycle starts the components in the order of their dependencies and stops them so that no
@@ -66,12 +68,22 @@
 	cancel     context.CancelFunc // ends the background work
 }
 
+const (
+	// adminWriteTimeout bounds a response on these ports: a client that reads slowly or not at all must not hold it.
+	adminWriteTimeout = time.Minute
+	// adminHeaderBytes bounds the head of a request there. Operators and targets send no more than some hundred
+	// bytes, and each of the short fields that the default of net/http (1 MiB) allows costs more than 100 bytes.
+	adminHeaderBytes = 16 << 10
+)
+
 // adminReadTimeout bounds the arrival of a request on the admin and readiness ports, body included: a
 // target that trickles bytes without end must not hold a connection for each of its announcements.
 const adminReadTimeout = 5 * time.Second
 
 func newAdminServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadTimeout: adminReadTimeout}
+	server := &http.Server{Handler: handler, ReadTimeout: adminReadTimeout, WriteTimeout: adminWriteTimeout, MaxHeaderBytes: adminHeaderBytes}
+	clientmemory.Attach(server)
+	return server
 }
 
 // registerLifecycle adds the start and the stop of the components to the application.
@@ -107,9 +119,11 @@
 		return errors.Join(err, peerListener.Close(), adminListener.Close(), entryListener.Close())
 	}
 	l.serve("peer", func() error { return l.PeerServer.Serve(peerListener) })
-	l.serve("admin", func() error { return l.admin.Serve(l.Credentials.secureAdmin(adminListener)) })
+	l.serve("admin", func() error {
+		return l.admin.Serve(l.Credentials.secureAdmin(l.Memory.Listener(adminListener, l.Settings.Admin.TLS.Enabled)))
+	})
 	if ready != nil {
-		l.serve("readiness", func() error { return l.admin.Serve(ready) })
+		l.serve("readiness", func() error { return l.admin.Serve(l.Memory.Listener(ready, false)) })
 	}
 	l.serve("entry", func() error { return l.EntryServer.Serve(entryListener) })
 	l.startBackground()
@@ -156,11 +170,13 @@
 func (l *lifecycle) runTicks(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	shortage := memoryLog{logger: l.Logger}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			shortage.observe(now, l.Memory.Usage())
 			l.Exit.Tick(now)
 			l.Updates.publish(now)
 		}
--- a/mesh/daemon/requests.go
+++ b/mesh/daemon/requests.go
@@ -14,6 +14,7 @@
 	"sassafrasnotch.example/coord/store"
 	"sassafrasnotch.example/mesh/adapter"
 	"sassafrasnotch.example/mesh/claim"
+	"sassafrasnotch.example/mesh/clientmemory"
 	"sassafrasnotch.example/mesh/entry"
 	"sassafrasnotch.example/mesh/exit"
 	"sassafrasnotch.example/mesh/limitedconn"
@@ -25,8 +26,8 @@
 )
 
 var requestsModule = fx.Module("calls", fx.Provide(
-	func(identity peer.Identity, s settings.Settings, a adapter.Adapter, c configuration, budget *descriptors.Budget, metrics *telemetry.RequestMetrics, logger *zap.Logger) *exit.Exit {
-		options := []exit.Option{exit.WithBudget(budget), exit.WithLatencyBound(latencyBounds{c}.bound), exit.WithQueueObserver(metrics.ObserveQueueWait),
+	func(identity peer.Identity, s settings.Settings, a adapter.Adapter, c configuration, budget *descriptors.Budget, held *clientmemory.Memory, metrics *telemetry.RequestMetrics, logger *zap.Logger) *exit.Exit {
+		options := []exit.Option{exit.WithBudget(budget), exit.WithMemory(held), exit.WithLatencyBound(latencyBounds{c}.bound), exit.WithQueueObserver(metrics.ObserveQueueWait),
 			exit.WithRecordedDepartures(), exit.WithHealthCheck(healthPaths{c}.path),
 			exit.WithColdPolicy(coldPolicies{c}.policy)}
 		if s.Configuration.Source == settings.SourceOperator {
@@ -67,10 +68,12 @@
 			Log:               logger.Named("entry"),
 		})
 	},
-	func(s settings.Settings, budget *descriptors.Budget, handler *entry.Entry, logger *zap.Logger) *entry.Server {
+	func(s settings.Settings, budget *descriptors.Budget, held *clientmemory.Memory, handler *entry.Entry, logger *zap.Logger) *entry.Server {
 		limits := s.Entry
 		limits.MaxConnections = min(limits.MaxConnections, entry.ConnectionLimit(budget.Most(descriptors.Callers)))
-		return entry.NewServer(limits, handler, logger.Named("entry"))
+		server := entry.NewServer(limits, handler, logger.Named("entry"))
+		server.UseMemory(held)
+		return server
 	},
 ))
 
--- a/mesh/entry/admit.go
+++ b/mesh/entry/admit.go
@@ -32,7 +32,7 @@
 	if overLimit(c.httpRequest.Context()) {
 		return refused(ReasonLimit, stepAdmit, "too many connections to this daemon").withPeer(c.entry.self.Host)
 	}
-	steps := []func() *failure{c.admitRoute, c.admitTenant, c.admitHeader, c.admitHops, c.admitDeadline, c.admitBody}
+	steps := []func() *failure{c.admitRoute, c.admitTenant, c.admitHeader, c.admitHops, c.admitDeadline, c.admitMemory, c.admitBody}
 	for _, step := range steps {
 		if failed := step(); failed != nil {
 			return failed
--- a/mesh/entry/callerconn.go
+++ b/mesh/entry/callerconn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"sassafrasnotch.example/mesh/clientmemory"
 	"sassafrasnotch.example/mesh/connclose"
 	"sassafrasnotch.example/mesh/connstate"
 )
@@ -40,7 +41,8 @@
 type countedConn struct {
 	net.Conn
 	entry     *Entry
-	overLimit bool // accepted only to be refused
+	overLimit bool                  // accepted only to be refused
+	account   *clientmemory.Account // nil has no limit
 	once      sync.Once
 	onClose   func()
 	// headerStart is when the first byte of a header arrived, in Unix nanoseconds; 0 while
@@ -99,6 +101,9 @@
 		c.headerStart.Store(time.Now().UnixNano())
 	}
 	n := c.handOver(p)
+	if !c.account.ReadBytes(p[:n]) {
+		return 0, clientmemory.ErrRead
+	}
 	if c.serving && len(p) == backgroundReadLength {
 		c.startReadAhead()
 		c.startPrefetches()
@@ -106,6 +111,13 @@
 	return n, nil
 }
 
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.account.WroteBytes(n)
+	return n, err
+}
+
 // fill waits until the buffer holds bytes; p receives those of a read of the socket on their way
 // there. The caller holds mutex.
 func (c *countedConn) fill(p []byte) error {
--- a/mesh/entry/prefetch.go
+++ b/mesh/entry/prefetch.go
@@ -70,10 +70,16 @@
 		if err != nil || request.Close || !request.ProtoAtLeast(1, 1) || !c.entry.mayPrefetch(request) {
 			return
 		}
-		release := c.entry.acquirePrefetch()
-		if release == nil {
+		releaseMemory := c.account.Spare(prefetchBytes + headMemory(request))
+		if releaseMemory == nil {
 			return
 		}
+		releaseCount := c.entry.acquirePrefetch()
+		if releaseCount == nil {
+			releaseMemory()
+			return
+		}
+		release := func() { releaseMemory(); releaseCount() }
 		request.RemoteAddr = c.RemoteAddr().String()
 		p := &prefetch{request: request.WithContext(c.ctx), writer: newHeldWriter(c.ctx), conn: c, done: make(chan struct{}), release: release}
 		c.prefetches = append(c.prefetches, p)
--- a/mesh/entry/server.go
+++ b/mesh/entry/server.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/mesh/clientmemory"
 	"sassafrasnotch.example/mesh/settings"
 )
 
@@ -45,6 +46,7 @@
 	// lameDuckPeriod is how long a stopping server continues to serve new requests.
 	lameDuckPeriod atomic.Int64 // nanoseconds
 
+	memory       *clientmemory.Memory // nil has no limit
 	waitingConns *waitingConns
 	listener     atomic.Pointer[net.Listener] // nil before Serve
 }
@@ -248,6 +250,12 @@
 			_ = conn.Close()
 			continue
 		}
-		return newCountedConn(conn, l.server.entry, number > l.server.maxConnections, func() { l.server.openConnections.Add(-1) }), nil
+		counted := newCountedConn(conn, l.server.entry, number > l.server.maxConnections, func() { l.server.openConnections.Add(-1) })
+		if !counted.openAccount(l.server.memory) {
+			_ = conn.Close()
+			counted.onClose()
+			continue
+		}
+		return counted, nil
 	}
 }
--- a/mesh/entry/waitingconns.go
+++ b/mesh/entry/waitingconns.go
@@ -43,6 +43,9 @@
 
 // track implements http.Server.ConnState.
 func (w *waitingConns) track(conn net.Conn, state http.ConnState) {
+	if counted, ok := conn.(*countedConn); ok {
+		counted.account.Track(state)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if state != http.StateNew && state != http.StateIdle {
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -15,6 +15,7 @@
 	"sassafrasnotch.example/coord/departure"
 	"sassafrasnotch.example/coord/descriptors"
 	"sassafrasnotch.example/coord/gossip"
+	"sassafrasnotch.example/mesh/clientmemory"
 	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/peer/peerpb"
@@ -33,6 +34,7 @@
 	observeWait  func(service string, wait time.Duration)
 	outcomes     outcomes
 	targetConns  *limitedconn.Limit
+	memory       *clientmemory.Memory // nil has no limit
 	healthPath   func(service string) string
 	coldPolicy   func(service string) ColdPolicy
 	// departuresKnown means that no earlier process of this daemon has acknowledged departures.
@@ -141,7 +143,12 @@
 func (e *Exit) ServeRequest(ctx context.Context, _ peer.Identity, first *peerpb.CallFrame, s *peer.Stream) (reusable bool) {
 	c, cancel := e.newCallerRequest(ctx, first.GetHead(), s)
 	defer cancel()
-	if refusal := c.admit(); refusal != nil {
+	release, refusal := c.holdMemory()
+	defer release()
+	if refusal == nil {
+		refusal = c.admit()
+	}
+	if refusal != nil {
 		if c.head.MaxWaitMicros == nil || !refusal.byAdmission {
 			e.outcomes.addRefused(c.outcomeKey())
 		}
--- a/mesh/peer/server.go
+++ b/mesh/peer/server.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"sassafrasnotch.example/mesh/clientmemory"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 	"sassafrasnotch.example/mesh/settings"
 )
@@ -27,6 +28,7 @@
 	log            *zap.Logger
 	controlBytes   byteCounts
 	security       Security // nil if connections are not secured
+	memory         *clientmemory.Memory
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -63,6 +65,9 @@
 	}
 }
 
+// UseMemory makes accepted connections count in the memory. It must be called before Serve.
+func (s *Server) UseMemory(m *clientmemory.Memory) { s.memory = m }
+
 // Serve accepts connections until the listener fails or Shutdown is called. It returns nil after
 // Shutdown, else an error that wraps ErrDial.
 func (s *Server) Serve(l net.Listener) error {
@@ -103,6 +108,12 @@
 // serveConn performs the handshakes and serves what the connection carries.
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.removeConn(conn)
+	account, granted := s.memory.Open(clientmemory.ConnBytes, func() { _ = conn.Close() })
+	if !granted {
+		return
+	}
+	defer account.Release()
+	account.Receiving(true) // until the handshakes are done
 	if err := s.tlsHandshake(conn); err != nil {
 		s.log.Warn("connection refused", zap.Error(err))
 		return
@@ -115,6 +126,7 @@
 		s.log.Warn("connection refused", zap.Error(err))
 		return
 	}
+	account.Receiving(false)
 	if carries == peerpb.StreamKind_STREAM_KIND_CALL {
 		s.serveRequests(conn, remote)
 		return
--- a/mesh/settings/defaults.go
+++ b/mesh/settings/defaults.go
@@ -46,7 +46,7 @@
 			WarmUp:       revision.Duration(5 * time.Second),
 			DrainTimeout: revision.Duration(30 * time.Second),
 		},
-		Runtime: Runtime{GCPercent: 400, MemoryLimit: 128 * mebibyte},
+		Runtime: Runtime{GCPercent: 400},
 		Log:     Log{Level: "info"},
 	}
 }
--- a/mesh/settings/settings.go
+++ b/mesh/settings/settings.go
@@ -154,9 +154,13 @@
 type Runtime struct {
 	// GCPercent is the garbage collection target percentage (GOGC).
 	GCPercent int `json:"gcPercent" validate:"min=10,max=2000"`
-	// MemoryLimit is the soft memory limit of the Go runtime (GOMEMLIMIT), in bytes. It should be half of
-	// what the process may use: the runtime exceeds it under a burst of allocations.
-	MemoryLimit int64 `json:"memoryLimit" validate:"min=16777216"`
+	// Memory is what the process may use, in bytes or as a text such as "184MB"; 0 means not stated. The
+	// other limits follow from it; see SoftLimit and ClientMemory.
+	Memory Size `json:"memory" validate:"min=0"`
+	// MemoryLimit is the soft memory limit of the Go runtime (GOMEMLIMIT), in bytes; 0 means that it follows
+	// from Memory. It should be half of what the process may use: the runtime exceeds it under a burst of
+	// allocations.
+	MemoryLimit int64 `json:"memoryLimit" validate:"omitempty,min=16777216"`
 }
 
 // Log configures the structured log.
