Close clients that read nothing, and close what is out of memory at once

Cause: a caller that reads no response held its connection for the write timeout of an hour or, after a held response, without a limit. net/http can ignore one error of a read, so that a head without memory stayed until the read timeout. Connections whose write the client blocks were never closed for others.

Change: refusals and the end of a response must be taken within 30 s. A read beyond the memory closes the socket. A write counts as awaiting the client, so that it can be closed for others after 1 s without progress.

--- a/coord/memory/budget.go
+++ b/coord/memory/budget.go
@@ -15,7 +15,7 @@
 	SmallHolding = 64 << 10
 	// keptDivisor sets the part of the budget that only small holders receive.
 	keptDivisor = 4
-	// stallTime is the time without progress after which a small holder that owes the rest of its request can be
+	// stallTime is the time without progress after which a small holder that is idle or awaits its client can be
 	// closed: a shorter silence is that of a slow link.
 	stallTime = time.Second
 	// progressHalfLife is the time in which the progress that counts for a holder halves.
@@ -28,8 +28,8 @@
 const (
 	// Idle holders wait for a request.
 	Idle Phase = iota
-	// Receiving holders have begun a request that is not complete.
-	Receiving
+	// AwaitingClient holders wait for the rest of a request, or for the client to take a response.
+	AwaitingClient
 	// Running holders have a complete request that is served.
 	Running
 )
@@ -131,7 +131,7 @@
 }
 
 // victim returns the holder to close for bytes more of h, or nil if none should end before h. Holders above
-// SmallHolding come first, then idle ones, then those that owe the rest of a request and have stalled.
+// SmallHolding come first, then idle ones, then those that await their client and have stalled.
 func (b *Budget) victim(h *Holder, now time.Duration, bytes int64) *Holder {
 	var worst *Holder
 	worstClass, worstScore := 0, 0.0
@@ -169,7 +169,7 @@
 		return classLarge, score(h.held, h.aged(now))
 	case h.phase == Idle && now-h.movedAt >= stallTime:
 		return classIdle, still
-	case h.phase == Receiving && now-h.movedAt >= stallTime:
+	case h.phase == AwaitingClient && now-h.movedAt >= stallTime:
 		return classStalled, still
 	}
 	return classSpared, 0
--- a/coord/memory/budget_test.go
+++ b/coord/memory/budget_test.go
@@ -30,12 +30,12 @@
 func TestStalledCrowdIsClosedBeforeClientsThatProgress(t *testing.T) {
 	is := is.New(t)
 	b := NewBudget(testTotal)
-	upload := open(b, 0, ordinary, Receiving)
+	upload := open(b, 0, ordinary, AwaitingClient)
 	is.True(upload.holder.Grow(0, 100<<10))
 	var crowd []*client
 	for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
 		upload.holder.Progress(now, 256<<10)
-		stalled := open(b, now, 20<<10, Receiving)
+		stalled := open(b, now, 20<<10, AwaitingClient)
 		if stalled.holder != nil {
 			stalled.holder.Progress(now, 60<<10)
 			for range 8 {
@@ -72,7 +72,7 @@
 	b := NewBudget(4 * ordinary)
 	running := open(b, 0, ordinary, Running)
 	first, second := open(b, 0, ordinary, Idle), open(b, time.Millisecond, ordinary, Idle)
-	receiving := open(b, 0, ordinary, Receiving)
+	receiving := open(b, 0, ordinary, AwaitingClient)
 	is.Equal(b.Open(stallTime/2, ordinary, nil), nil) // nobody has been still for long
 	now := 2 * stallTime
 	for _, expected := range []*client{first, second, receiving} {
@@ -91,8 +91,8 @@
 func TestWorstHolderIsRefusedItself(t *testing.T) {
 	is := is.New(t)
 	b := NewBudget(testTotal)
-	other := open(b, 0, ordinary, Receiving)
-	large := open(b, 0, ordinary, Receiving)
+	other := open(b, 0, ordinary, AwaitingClient)
+	large := open(b, 0, ordinary, AwaitingClient)
 	for large.holder.Grow(0, 64<<10) {
 	}
 	is.True(!other.closed)
--- a/mesh/clientmemory/account.go
+++ b/mesh/clientmemory/account.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -96,7 +97,7 @@
 	if !inHead {
 		return true
 	}
-	a.holder.SetPhase(now, memory.Receiving)
+	a.holder.SetPhase(now, memory.AwaitingClient)
 	fields := bytes.Count(p, []byte{'\n'})
 	if a.opaque {
 		fields = len(p) / opaqueFieldLength
@@ -104,11 +105,17 @@
 	return a.GrowRequest(int64(copies*len(p) + fieldBytes*fields))
 }
 
-// WroteBytes counts bytes that the client has taken.
-func (a *Account) WroteBytes(n int) {
-	if a != nil {
-		a.holder.Progress(a.memory.now(), int64(n))
+// Write writes to the connection, and counts what the client has taken. Meanwhile the connection awaits its
+// client.
+func (a *Account) Write(conn io.Writer, p []byte) (int, error) {
+	if a == nil {
+		return conn.Write(p)
 	}
+	a.AwaitClient(true)
+	n, err := conn.Write(p)
+	a.holder.Progress(a.memory.now(), int64(n))
+	a.AwaitClient(false)
+	return n, err
 }
 
 // GrowRequest counts bytes more for the request in progress. It returns false if they are not granted, so
@@ -138,14 +145,14 @@
 	return sync.OnceFunc(func() { a.holder.Shrink(bytes) })
 }
 
-// Receiving records whether a part of the request in progress has not arrived.
-func (a *Account) Receiving(receiving bool) {
+// AwaitClient records whether the connection awaits a part of a request, or that its client takes a response.
+func (a *Account) AwaitClient(awaits bool) {
 	if a == nil {
 		return
 	}
 	phase := memory.Running
-	if receiving {
-		phase = memory.Receiving
+	if awaits {
+		phase = memory.AwaitingClient
 	}
 	a.holder.SetPhase(a.memory.now(), phase)
 }
--- a/mesh/clientmemory/listener.go
+++ b/mesh/clientmemory/listener.go
@@ -57,6 +57,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if !c.account.ReadBytes(p[:n]) {
+		_ = c.Conn.Close() // net/http may ignore one error and read again
 		return 0, ErrRead
 	}
 	return n, err
@@ -64,9 +65,7 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.account.WroteBytes(n)
-	return n, err
+	return c.account.Write(c.Conn, p)
 }
 
 // Close implements net.Conn.
--- a/mesh/entry/body.go
+++ b/mesh/entry/body.go
@@ -37,9 +37,9 @@
 		size = min(size, c.httpRequest.ContentLength)
 	}
 	inline := make([]byte, size)
-	c.conn.receiving(true)
+	c.conn.awaitCaller(true)
 	n, err := io.ReadFull(c.httpRequest.Body, inline)
-	c.conn.receiving(false)
+	c.conn.awaitCaller(false)
 	c.inlineBody = inline[:n]
 	switch {
 	case err == io.EOF || err == io.ErrUnexpectedEOF && c.httpRequest.ContentLength < 0:
--- a/mesh/entry/callerconn.go
+++ b/mesh/entry/callerconn.go
@@ -102,6 +102,7 @@
 	}
 	n := c.handOver(p)
 	if !c.account.ReadBytes(p[:n]) {
+		_ = c.Conn.Close() // net/http may ignore one error and read again
 		return 0, clientmemory.ErrRead
 	}
 	if c.serving && len(p) == backgroundReadLength {
@@ -113,9 +114,7 @@
 
 // Write implements net.Conn.
 func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.account.WroteBytes(n)
-	return n, err
+	return c.account.Write(c.Conn, p)
 }
 
 // fill waits until the buffer holds bytes; p receives those of a read of the socket on their way
--- a/mesh/entry/memory.go
+++ b/mesh/entry/memory.go
@@ -69,10 +69,10 @@
 	return granted
 }
 
-// receiving records whether a part of the request has not arrived. The connection may be nil.
-func (c *countedConn) receiving(receiving bool) {
+// awaitCaller records whether a part of the request has not arrived. The connection may be nil.
+func (c *countedConn) awaitCaller(awaits bool) {
 	if c != nil {
-		c.account.Receiving(receiving)
+		c.account.AwaitClient(awaits)
 	}
 }
 
@@ -88,5 +88,15 @@
 	_ = c.Close()
 }
 
+// tailTimeout bounds the writing of a refusal, and of the end of a response that net/http writes after the
+// handler. Without it, a caller that sends requests and reads nothing holds its connection for an hour.
+const tailTimeout = 30 * time.Second
+
+// limitTail sets the deadline of what is written to the caller from now on. net/http sets another one with the
+// next request.
+func limitTail(writer http.ResponseWriter) {
+	_ = http.NewResponseController(writer).SetWriteDeadline(time.Now().Add(tailTimeout))
+}
+
 // UseMemory makes the connections of the server count in the memory. It must be called before Serve.
 func (s *Server) UseMemory(m *clientmemory.Memory) { s.memory = m }
--- a/mesh/entry/memory_test.go
+++ b/mesh/entry/memory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -86,6 +87,30 @@
 	is.True(held.Usage().Closed > 0)
 }
 
+// deadlineWriter records the write deadline.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (w *deadlineWriter) SetWriteDeadline(deadline time.Time) error {
+	w.deadline = deadline
+	return nil
+}
+
+// Guards against a caller that reads nothing and holds its connection, after a refusal as after a response.
+func TestWritesToCallersEnd(t *testing.T) {
+	f := newFixture(t, testSettings(), nil, twoHosts(respondsWith(200, "ok"), nil))
+	for path, status := range map[string]int{"/catalog": http.StatusOK, "/nowhere": http.StatusNotFound} {
+		is := is.New(t)
+		writer := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+		f.entry.ServeHTTP(writer, httptest.NewRequest(http.MethodGet, path, nil))
+		is.Equal(writer.Code, status)
+		is.True(!writer.deadline.IsZero())
+		is.True(time.Until(writer.deadline) <= tailTimeout)
+	}
+}
+
 // BenchmarkMemory measures what the memory costs a request: on a kept connection, without and with it.
 func BenchmarkMemory(b *testing.B) {
 	for _, bytes := range []int64{0, 64 << 20} {
@@ -100,7 +125,7 @@
 				account.ReadBytes(head)
 				account.Track(http.StateActive)
 				account.GrowRequest(dispatchBytes)
-				account.WroteBytes(200)
+				_, _ = account.Write(io.Discard, head)
 				account.Track(http.StateIdle)
 			}
 		})
--- a/mesh/entry/prefetch.go
+++ b/mesh/entry/prefetch.go
@@ -143,7 +143,7 @@
 		resetOnClose(request.Context())
 		panic(http.ErrAbortHandler)
 	}
-	_ = control.SetWriteDeadline(time.Time{})
+	limitTail(writer)
 }
 
 // heldWriter is an http.ResponseWriter that keeps the response until it is attached to the one of
@@ -218,7 +218,7 @@
 	defer w.mutex.Unlock()
 	w.deadline = deadline
 	if w.out == nil || deadline.IsZero() {
-		return nil // replyTo clears the deadline
+		return nil // replyTo sets one for the rest
 	}
 	return http.NewResponseController(w.out).SetWriteDeadline(deadline)
 }
--- a/mesh/entry/problem.go
+++ b/mesh/entry/problem.go
@@ -138,6 +138,7 @@
 	if c.mustClose(failed) {
 		header.Set("Connection", "close")
 	}
+	limitTail(c.writer)
 	c.writer.WriteHeader(failed.reason.httpStatus())
 	_ = json.NewEncoder(c.writer).Encode(Problem{
 		Outcome:   failed.outcome.String(),
--- a/mesh/entry/response.go
+++ b/mesh/entry/response.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"sassafrasnotch.example/coord/retry"
 	"sassafrasnotch.example/mesh/peer/peerpb"
@@ -98,6 +97,8 @@
 	if !head.GetComplete() || len(head.GetInlineBody()) > maxBufferedBody {
 		clearDeadline := e.limitWriteTime()
 		defer clearDeadline()
+	} else {
+		limitTail(e.request.writer)
 	}
 	if err := body.write(head.GetInlineBody()); err != nil {
 		return err
@@ -130,11 +131,11 @@
 
 // limitWriteTime ends writes to the caller responseOverrun after the request's deadline, so
 // that a caller that does not read holds neither the stream nor the target's slot for
-// longer. The returned function removes the limit.
+// longer. The returned function leaves a limit for what net/http writes after the handler.
 func (e *exchange) limitWriteTime() (clearDeadline func()) {
 	control := http.NewResponseController(e.request.writer)
 	_ = control.SetWriteDeadline(e.request.deadline.Add(responseOverrun))
-	return func() { _ = control.SetWriteDeadline(time.Time{}) }
+	return func() { limitTail(e.request.writer) }
 }
 
 func (e *exchange) receiveFrame(frame *peerpb.CallFrame) error {
--- a/mesh/peer/server.go
+++ b/mesh/peer/server.go
@@ -113,7 +113,7 @@
 		return
 	}
 	defer account.Release()
-	account.Receiving(true) // until the handshakes are done
+	account.AwaitClient(true) // until the handshakes are done
 	if err := s.tlsHandshake(conn); err != nil {
 		s.log.Warn("connection refused", zap.Error(err))
 		return
@@ -126,7 +126,7 @@
 		s.log.Warn("connection refused", zap.Error(err))
 		return
 	}
-	account.Receiving(false)
+	account.AwaitClient(false)
 	if carries == peerpb.StreamKind_STREAM_KIND_CALL {
 		s.serveRequests(conn, remote)
 		return
