Describe the memory for clients and keep idle connections by default

Cause: without a stated memory the budget of half of the soft limit (64 MiB) was below the 5000 idle connections that the defaults allow.

Change: where the settings state neither runtime.memory nor runtime.memoryLimit, the budget is the whole soft limit.

--- a/mesh/settings/size.go
+++ b/mesh/settings/size.go
@@ -64,5 +64,11 @@
 }
 
 // ClientMemory returns what connections and requests of clients may hold, in bytes. It is half of the soft
-// limit, so that the garbage of as much fits beside it.
-func (r Runtime) ClientMemory() int64 { return r.SoftLimit() / 2 }
+// limit, so that the garbage of as much fits beside it. Where neither Memory nor MemoryLimit is set, it is all of
+// the soft limit: as many idle connections as entry.maxConnections allows by default (100 MB) are kept then.
+func (r Runtime) ClientMemory() int64 {
+	if r.Memory == 0 && r.MemoryLimit == 0 {
+		return maxSoftLimit
+	}
+	return r.SoftLimit() / 2
+}
