Let connections that linger after a refusal make room

Cause: a connection that still receives the rest of a refused body counted as one that runs a request, so that it was not closed for others for up to 5 s.

Change: once net/http no longer serves a connection, what its request held is released and it awaits its client.

Measured: TestLingeringConnectionMakesRoom and the other tests of mesh/clientmemory pass with -race, as do those of memory, pipelining, unread bodies and shutdown in mesh/entry.

--- a/mesh/clientmemory/account.go
+++ b/mesh/clientmemory/account.go
@@ -170,15 +170,22 @@
 		a.holder.SetPhase(a.memory.now(), memory.Running)
 	case http.StateIdle:
 		a.inHead = true
-		a.holder.Shrink(a.request)
-		a.request = 0
-		a.holder.SetPhase(a.memory.now(), memory.Idle)
+		a.endRequest(memory.Idle)
 	case http.StateClosed, http.StateHijacked:
+		// The connection may still receive the rest of a body that nobody reads; see connclose.
 		a.served = true
+		a.endRequest(memory.AwaitingClient)
 		a.releaseIfEnded()
 	}
 }
 
+// endRequest releases what the request in progress held. It is called with the lock held.
+func (a *Account) endRequest(next memory.Phase) {
+	a.holder.Shrink(a.request)
+	a.request = 0
+	a.holder.SetPhase(a.memory.now(), next)
+}
+
 // ConnClosed records that the connection of a server of net/http is closed. What it holds is released once
 // its last request has ended too, which may take longer.
 func (a *Account) ConnClosed() {
