--- a/mesh/entry/admit.go
+++ b/mesh/entry/admit.go
@@ -33,8 +33,8 @@
 		return refused(ReasonLimit, stepAdmit, "too many connections to this daemon").withPeer(c.entry.self.Host)
 	}
 	steps := []func() *failure{
-		c.admitRoute, c.admitTenant, c.admitShare, c.admitHeader, c.admitHops, c.admitDeadline, c.admitBody,
-		c.admitTenantLimit,
+		c.admitRoute, c.admitTenant, c.admitShare, c.admitHeader, c.admitHops, c.admitDeadline, c.admitMemory,
+		c.admitBody, c.admitTenantLimit,
 	}
 	for _, step := range steps {
 		if failed := step(); failed != nil {
--- a/mesh/entry/callerconn.go
+++ b/mesh/entry/callerconn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"sassafrasnotch.example/mesh/clientmemory"
 	"sassafrasnotch.example/mesh/connclose"
 	"sassafrasnotch.example/mesh/connstate"
 )
@@ -42,6 +43,7 @@
 	entry     *Entry
 	overLimit bool // accepted only to be refused
 	share     connectionShare
+	account   *clientmemory.Account // nil has no limit
 	once      sync.Once
 	onClose   func()
 	// headerStart is when the first byte of a header arrived, in Unix nanoseconds; 0 while
@@ -100,6 +102,10 @@
 		c.headerStart.Store(time.Now().UnixNano())
 	}
 	n := c.handOver(p)
+	if !c.account.ReadBytes(p[:n]) {
+		_ = c.Conn.Close() // net/http may ignore one error and read again
+		return 0, clientmemory.ErrRead
+	}
 	if c.serving && len(p) == backgroundReadLength {
 		c.startReadAhead()
 		c.startPrefetches()
@@ -107,6 +113,11 @@
 	return n, nil
 }
 
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	return c.account.Write(c.Conn, p)
+}
+
 // fill waits until the buffer holds bytes; p receives those of a read of the socket on their way
 // there. The caller holds mutex.
 func (c *countedConn) fill(p []byte) error {
--- a/mesh/entry/prefetch.go
+++ b/mesh/entry/prefetch.go
@@ -60,10 +60,16 @@
 		if err != nil || request.Close || !request.ProtoAtLeast(1, 1) || !c.entry.mayPrefetch(request) {
 			return
 		}
-		release := c.entry.acquirePrefetch(request)
-		if release == nil {
+		releaseMemory := c.account.Spare(prefetchBytes + headMemory(request))
+		if releaseMemory == nil {
 			return
 		}
+		releaseCount := c.entry.acquirePrefetch(request)
+		if releaseCount == nil {
+			releaseMemory()
+			return
+		}
+		release := func() { releaseMemory(); releaseCount() }
 		request.RemoteAddr = c.RemoteAddr().String()
 		p := &prefetch{request: request.WithContext(c.ctx), writer: newHeldWriter(c.ctx), conn: c, done: make(chan struct{}), release: release}
 		c.prefetches = append(c.prefetches, p)
@@ -127,7 +133,7 @@
 		resetOnClose(request.Context())
 		panic(http.ErrAbortHandler)
 	}
-	_ = control.SetWriteDeadline(time.Time{})
+	limitTail(writer)
 }
 
 // heldWriter is an http.ResponseWriter that keeps the response until it is attached to the one of
@@ -202,7 +208,7 @@
 	defer w.mutex.Unlock()
 	w.deadline = deadline
 	if w.out == nil || deadline.IsZero() {
-		return nil // replyTo clears the deadline
+		return nil // replyTo sets one for the rest
 	}
 	return http.NewResponseController(w.out).SetWriteDeadline(deadline)
 }
--- a/mesh/exit/exit.go
+++ b/mesh/exit/exit.go
@@ -17,6 +17,7 @@
 	"sassafrasnotch.example/coord/descriptors"
 	"sassafrasnotch.example/coord/gossip"
 	"sassafrasnotch.example/coord/nested"
+	"sassafrasnotch.example/mesh/clientmemory"
 	"sassafrasnotch.example/mesh/limitedconn"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/peer/peerpb"
@@ -40,6 +41,7 @@
 	coldPolicy      func(service string) ColdPolicy
 	origins         *nested.Origins
 	parents         *nested.Parents
+	memory          *clientmemory.Memory // nil has no limit
 	// departuresKnown means that no earlier process of this daemon has acknowledged departures.
 	departuresKnown bool
 	startedAt       time.Time
@@ -153,7 +155,12 @@
 func (e *Exit) ServeRequest(ctx context.Context, _ peer.Identity, first *peerpb.CallFrame, s *peer.Stream) (reusable bool) {
 	c, cancel := e.newCallerRequest(ctx, first.GetHead(), s)
 	defer cancel()
-	if refusal := c.admit(); refusal != nil {
+	release, refusal := c.holdMemory()
+	defer release()
+	if refusal == nil {
+		refusal = c.admit()
+	}
+	if refusal != nil {
 		if c.head.MaxWaitMicros == nil || !refusal.byAdmission {
 			e.outcomes.addRefused(c.outcomeKey())
 		}
