Let hosts that restart together find the others sooner

Cause: a starting node contacted three seeds a second, most of which had restarted too, and replied to differing hashes twice a second. Change: for two probe intervals it contacts three seeds in each round of rumours until it knows three quarters of them, and replies to hashes ten times a second. Refusals of a daemon that starts ask callers back after 150 to 450 ms.

--- a/coord/gossip/node.go
+++ b/coord/gossip/node.go
@@ -35,6 +35,7 @@
 	// holding is set while suspects are not declared dead.
 	holding bool
 
+	started time.Time
 	// lastTick is the time of the last Tick; the fields behind lastHeard are the times from which a
 	// step is due. nextRecordHashes is the time before which no record hashes are sent.
 	lastTick         time.Time
@@ -67,6 +68,7 @@
 		relays:    make(map[uint64]relay),
 		links:     newLinks(),
 		changed:   make(map[string]struct{}),
+		started:   now,
 		lastTick:  now,
 		lastHeard: now,
 	}
--- a/coord/gossip/repair.go
+++ b/coord/gossip/repair.go
@@ -22,12 +22,43 @@
 // maxSeedContacts is the number of seeds that a node without other members contacts at once.
 const maxSeedContacts = 3
 
-// contactSeeds starts a repair with seeds that are not known members: several seeds at
-// intervals of about ProbeInterval while the node knows no active member, else one at intervals
-// of about SeedInterval.
+// joinProbes is the time after the start in which a node looks for the others at short intervals, in probe
+// intervals. When many hosts restart at once, most that it meets know as little as itself.
+const joinProbes = 2
+
+// joining reports whether the node has just started and knows less than three quarters of the hosts that its
+// seeds name. Beyond that the hashes of a repair would cost more than they bring.
+func (n *Node) joining(now time.Time) bool {
+	if now.Sub(n.started) >= joinProbes*n.cfg.ProbeInterval {
+		return false
+	}
+	active := 0
+	for _, e := range n.table.all {
+		if !e.deadOrLeaving() {
+			active++
+		}
+	}
+	return 4*active < 3*len(n.seeds)
+}
+
+// recordHashInterval returns the shortest time between two replies to BucketHashes, each of which may cost as
+// much as all records.
+func (n *Node) recordHashInterval(now time.Time) time.Duration {
+	if n.joining(now) {
+		return n.cfg.RumourInterval / 2
+	}
+	return n.cfg.ProbeInterval / 2
+}
+
+// contactSeeds starts a repair with seeds that are not known members: several seeds at intervals of
+// RumourInterval after the start, and of about ProbeInterval while the node knows no active member, else one
+// at intervals of about SeedInterval.
 func (n *Node) contactSeeds(now time.Time) {
 	count, wait := 1, n.cfg.SeedInterval
-	if n.isAlone() {
+	switch {
+	case n.joining(now):
+		count, wait = maxSeedContacts, n.cfg.RumourInterval
+	case n.isAlone():
 		count, wait = maxSeedContacts, n.cfg.ProbeInterval
 	}
 	n.nextSeed = now.Add(n.jitter(wait))
@@ -131,7 +162,7 @@
 	if len(body.Hashes) != bucketCount || now.Before(n.nextRecordHashes) {
 		return
 	}
-	n.nextRecordHashes = now.Add(n.cfg.ProbeInterval / 2)
+	n.nextRecordHashes = now.Add(n.recordHashInterval(now))
 	differing := n.differingBuckets(body.Hashes)
 	for i := 0; len(differing) > 0 && i < maxHashMessages; i++ {
 		if i > 0 && !n.budget.aboveReserve() {
--- a/coord/gossip/restart_test.go
+++ b/coord/gossip/restart_test.go
@@ -40,3 +40,40 @@
 		})
 	}
 }
+
+// restartedCompleteWithin is the time within which hosts that restarted together know nearly all active
+// members, in probe intervals: until then they refuse requests for the services that they know no host of.
+const restartedCompleteWithin = 1.5
+
+// TestHostsThatRestartTogetherFindTheOthers guards against a slow start of many hosts at once: two thirds of
+// them are killed and start with the addresses of all, of which most know as little as they do.
+func TestHostsThatRestartTogetherFindTheOthers(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		net := newNetwork(seed, 3, 29)
+		net.run(30 * time.Second)
+		var addresses []string
+		for _, p := range net.peers {
+			addresses = append(addresses, p.node.self.record.GossipAddress)
+		}
+		net.seeds = addresses
+		var restarted []*peer
+		for i, p := range net.peers {
+			if i%3 != 0 {
+				net.restart(p)
+				restarted = append(restarted, p)
+			}
+		}
+		interval := net.cfg.ProbeInterval
+		took, ok := net.runUntil(time.Duration(restartedCompleteWithin*float64(interval)), func() bool {
+			for _, p := range restarted {
+				if known := len(p.node.Members()); known < len(net.peers)*9/10 {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("seed %d: %v", seed, took)
+		is.True(ok)
+	}
+}
--- a/mesh/entry/admit.go
+++ b/mesh/entry/admit.go
@@ -47,7 +47,9 @@
 func (c *callerRequest) admitRoute() *failure {
 	c.snapshot = c.entry.deps.Configuration.Snapshot()
 	if c.snapshot == nil {
-		return refused(ReasonNotConfigured, stepAdmit, "this daemon has no configuration yet").withPeer(c.entry.self.Host)
+		failed := refused(ReasonNotConfigured, stepAdmit, "this daemon has no configuration yet").withPeer(c.entry.self.Host)
+		failed.retryAfter = c.entry.startingRetryAfter()
+		return failed
 	}
 	if !strings.HasPrefix(c.httpRequest.URL.Path, "/") || hasDotSegment(c.httpRequest.URL.Path) {
 		return refused(ReasonBadRequest, stepAdmit, "the path is not absolute or has a dot segment")
--- a/mesh/entry/returntime.go
+++ b/mesh/entry/returntime.go
@@ -20,6 +20,27 @@
 	plan.returns.Record(refused, now)
 	if refused {
 		wait := max(failed.retryAfter, minFractionalRetryAfter)
+		if failed.reason == ReasonNoTarget && c.entry.starting() {
+			wait = max(wait, c.entry.startingRetryAfter())
+		}
 		failed.retryAfter = plan.returns.After(wait, c.deadline.Sub(now), rand.Float64(), now)
 	}
 }
+
+const (
+	// joinTime is the time after its start in which a daemon may know few hosts.
+	joinTime = 2 * time.Second
+	// minStartingRetryAfter is the shortest mean time after which callers of a daemon that has just started are
+	// to come back: about that in which it reads its configuration and learns of the other hosts. Most callers
+	// come back once or twice, so that a shorter one would use that up.
+	minStartingRetryAfter = 300 * time.Millisecond
+)
+
+// starting reports whether the daemon has started lately.
+func (e *Entry) starting() bool { return time.Since(e.startedAt) < joinTime }
+
+// startingRetryAfter returns the time after which a caller is to come back that the daemon can't serve because it
+// has just started. It is spread, so that those refused together don't return together.
+func (e *Entry) startingRetryAfter() time.Duration {
+	return time.Duration(float64(minStartingRetryAfter) * (0.5 + rand.Float64()))
+}
