--- a/coord/quota/fleet_test.go
+++ b/coord/quota/fleet_test.go
@@ -133,18 +133,24 @@
 // among them, only the bound is required.
 func runTenth(t *testing.T, least float64, prepare func(s *sim, affected []*simNode)) {
 	for _, coordinator := range []int{0, 1, 2, -1} {
+		required := least
 		if coordinator < 0 {
-			least = 0
+			required = 0
 		}
-		t.Run(fmt.Sprintf("coordinator %d", coordinator), func(t *testing.T) {
-			runCase(t, least, func(s *sim) {
-				s.at(faultAt, func() {
-					prepare(s, tenth(s, coordinator))
-					s.changed()
-				})
+		runTenthWith(t, coordinator, required, prepare)
+	}
+}
+
+// runTenthWith runs a case that affects a tenth of the daemons, among them one of the coordinators (see tenth).
+func runTenthWith(t *testing.T, coordinator int, least float64, prepare func(s *sim, affected []*simNode)) {
+	t.Run(fmt.Sprintf("coordinator %d", coordinator), func(t *testing.T) {
+		runCase(t, least, func(s *sim) {
+			s.at(faultAt, func() {
+				prepare(s, tenth(s, coordinator))
+				s.changed()
 			})
 		})
-	}
+	})
 }
 
 // The loss of a tenth of the daemons must not stop the others.
@@ -158,15 +164,28 @@
 
 // Daemons that are cut off one by one act for themselves alone; their parts must not add to the limit. The
 // callers of the run in calm leave them: a daemon that is cut off serves its own part only. The run holds two
-// changes of the root, at the cut and when the links heal, and thus 0.85 is required and not 0.9.
+// changes of the root, at the cut and when the links heal.
 func TestDaemonsCutOffSingly(t *testing.T) {
-	runTenth(t, 0.85, func(s *sim, affected []*simNode) {
-		s.leaveCutOff = s.tenants[0].maxFactor == 1
-		for i, n := range affected {
-			n.group = i + 1
-		}
-		s.at(faultAt+8*second, s.heal)
-	})
+	for _, coordinator := range []int{0, 2} {
+		runTenthWith(t, coordinator, 0.9, cutOffSingly)
+	}
+	for _, coordinator := range []int{rootOfTheCases, -1} {
+		runTenthWith(t, coordinator, 0, cutOffSingly) // the bound only; for the root see the next test
+	}
+}
+
+// rootOfTheCases is the coordinator that is the root in the cases of cutOffSingly.
+const rootOfTheCases = 1
+
+// The same with the host of the root among them must not refuse more either.
+func TestRootCutOffSingly(t *testing.T) { runTenthWith(t, rootOfTheCases, 0.9, cutOffSingly) }
+
+func cutOffSingly(s *sim, affected []*simNode) {
+	s.leaveCutOff = s.tenants[0].maxFactor == 1
+	for i, n := range affected {
+		n.group = i + 1
+	}
+	s.at(faultAt+8*second, s.heal)
 }
 
 // Daemons that restart while they are cut off know no others, and must not take themselves for the fleet.
