--- a/mesh/entry/reason.go
+++ b/mesh/entry/reason.go
@@ -34,7 +34,8 @@
 	ReasonLimit Reason = "limit"
 	// ReasonUnreachable means that no stream to the host could be opened.
 	ReasonUnreachable Reason = "unreachable"
-	// ReasonLocalLimit means that this daemon is short of descriptors, or of streams to the host.
+	// ReasonLocalLimit means that this daemon is short of descriptors, of memory, or of streams
+	// to the host.
 	ReasonLocalLimit Reason = "local-limit"
 	// ReasonNoRoute means that no route matches the request.
 	ReasonNoRoute Reason = "no-route"
