Count failures of a target whose caller leaves at once

A target that failed a request was mostly not counted as failing: the entry drops the stream as soon as it is told, and the exit took that for a caller that left, which shows nothing.

Change: whether the failure came before the deadline and before the caller left is decided before it is reported.

--- a/mesh/exit/admit.go
+++ b/mesh/exit/admit.go
@@ -204,7 +204,7 @@
 	if r.kind == responded {
 		e.crashes.markResponded(c.fingerprint, now)
 	}
-	if r.kind == responded || c.ctx.Err() == nil { // a deadline shows nothing about the target
+	if r.kind == responded || r.inTime || c.ctx.Err() == nil { // a deadline shows nothing about the target
 		c.target.admission.RecordResult(r.failed(), now)
 	}
 	switch {
--- a/mesh/exit/dispatch.go
+++ b/mesh/exit/dispatch.go
@@ -38,6 +38,9 @@
 	crashed bool
 	// refusalSent means that the caller was sent a refusal, with which the exchange is complete.
 	refusalSent bool
+	// inTime means that the failure came before the deadline and before the caller left: it shows something
+	// about the target, even if the caller leaves as soon as it is told.
+	inTime bool
 }
 
 // failed reports whether the target did not serve the request: it refused it, sent no complete
@@ -250,12 +253,12 @@
 	if c.callerClosed.Load() {
 		return result{kind: callerGone}
 	}
-	crashed := false
-	if c.ctx.Err() == nil {
+	inTime, crashed := c.ctx.Err() == nil, false
+	if inTime {
 		crashed = c.exit.checkCrash(c)
 	}
 	c.sendFailure(step, cause, crashed)
-	return result{kind: outcomeUnknown, crashed: crashed}
+	return result{kind: outcomeUnknown, crashed: crashed, inTime: inTime}
 }
 
 func isConnRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
