--- a/coord/admission/target.go
+++ b/coord/admission/target.go
@@ -154,7 +154,10 @@
 }
 
 // Cold reports whether the target is still in its warm-up.
-func (t *Target) Cold(now time.Time) bool { return now.Sub(t.started) < t.config.WarmUp }
+// The time of a periodic call may lie before its start.
+func (t *Target) Cold(now time.Time) bool {
+	return t.config.WarmUp > 0 && now.Sub(t.started) < t.config.WarmUp
+}
 
 // Available reports whether a request submitted now would run at once.
 func (t *Target) Available(now time.Time) bool {
--- a/coord/admission/target_test.go
+++ b/coord/admission/target_test.go
@@ -340,3 +340,12 @@
 	}
 	is.Equal(submit(4, true, 0.5), admission.Run)
 }
+
+// Guards against a panic of the daemon: the time of a periodic call lies before the start of a target that was added
+// meanwhile and has no warm-up.
+func TestTickBeforeTheStartOfATarget(t *testing.T) {
+	is := is.New(t)
+	target := admission.NewTarget(admission.Config{Slots: 6, QueueLength: 4}, start)
+	is.Equal(len(target.Tick(start.Add(-time.Millisecond))), 0)
+	is.True(!target.Cold(start.Add(-time.Millisecond)))
+}
--- a/mesh/daemon/nestedmetrics.go
+++ b/mesh/daemon/nestedmetrics.go
@@ -32,6 +32,9 @@
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		o.ObserveInt64(requests, int64(e.NestedRequests()))
 		now := time.Now()
+		// Without a route, so that the metrics are served before the first nested request too.
+		o.ObserveFloat64(perRun, 0, label(telemetry.FieldRoute, ""))
+		o.ObserveInt64(refused, 0, label(telemetry.FieldRoute, ""))
 		for _, route := range parents.Routes() {
 			if calls := parents.CallsPerRun(route, now); calls > 0 {
 				o.ObserveFloat64(perRun, calls, label(telemetry.FieldRoute, route))
