--- a/coord/balance/even_test.go
+++ b/coord/balance/even_test.go
@@ -1,7 +1,6 @@
 package balance_test
 
 import (
-	"flag"
 	"slices"
 	"testing"
 	"time"
@@ -9,8 +8,6 @@
 	"sassafrasnotch.example/coord/balance"
 )
 
-var evenFull = flag.Bool("even.full", false, "play all loads of TestEvenLoad")
-
 // evenRandom draws one target.
 func evenRandom(m *evenModel, r evenEvent) evenOffers {
 	endpoints := m.groups[r.entry].Endpoints()
