Review: a path with a vertical bar is changed on its way

A path with a character that net/url encodes is decoded and encoded anew, so that an encoded slash in it becomes a separator.

--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -39,6 +39,7 @@
 	internal, outbound, control, ready, appAdress string
 	command                                       *exec.Cmd
 	exited                                        chan struct{}
+	worker                                        *worker // the last one started here
 }
 
 // startFleet starts the store and a daemon on each machine; services lists theirs, one after another by zone.
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -31,8 +31,8 @@
 
 // arrival is a request that began to run at a worker.
 type arrival struct {
-	id, worker string
-	at         time.Time
+	id, worker, target string // the target as it stands in the request line
+	at                 time.Time
 }
 
 // worker is a stand-in for a worker of the platform.
@@ -62,7 +62,7 @@
 		w.run.fail("worker: %v", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	w.cancel = cancel
+	w.cancel, m.worker = cancel, w
 	w.server = &http.Server{Handler: http.HandlerFunc(w.serve), IdleTimeout: 10 * time.Second}
 	go func() { _ = w.server.Serve(listener) }()
 	go w.beat(ctx)
@@ -169,13 +169,13 @@
 	}
 	defer func() { <-w.slots }()
 	w.mu.Lock()
-	w.arrivals = append(w.arrivals, arrival{id, w.id, time.Now()})
+	w.arrivals = append(w.arrivals, arrival{id, w.id, request.RequestURI, time.Now()})
 	w.mu.Unlock()
 	t := task{work: 5 * time.Millisecond}
 	if w.plan != nil {
 		t = w.plan(id)
 	}
-	w.run.log("%s: runs %s (%s %s, %d bytes, deadline %d ms) for %v, answer lost %v", w.id, id, request.Method, request.URL.RequestURI(), len(body), millis, t.work, t.loseAnswer)
+	w.run.log("%s: runs %s (%s %s, %d bytes, deadline %d ms) for %v, answer lost %v", w.id, id, request.Method, request.RequestURI, len(body), millis, t.work, t.loseAnswer)
 	status := http.StatusOK
 	select {
 	case <-time.After(t.work):
