Review: two late heartbeats open a worker that has left

A daemon that was killed and can't read the departures of its former process holds the worker, whose health check says that it leaves, and opens it again at the second late heartbeat.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]testCase{
 	"drain-repeat": drainRepeat,
+	"late-beats":   lateBeats,
 	"path-routed":  pathRouted,
 }
 
