--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/standin review/standin-2/*.go
+GOWORK=off GOFLAGS=-buildvcs=false go build -o target/review-2/standin review/standin-2/*.go
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -209,6 +209,17 @@
 	f.run.log("%s", what)
 }
 
+// awaitService waits until a safe request with the path is served at a machine.
+func (f *fleet) awaitService(m *machine, path string) {
+	attempts := 0
+	f.await("requests for "+path+" are served", 10*time.Second, func() bool {
+		c := m.newClient()
+		defer c.close()
+		attempts++
+		return c.send(fmt.Sprintf("probe-%s-%d", path, attempts), http.MethodGet, siteHost, path, time.Second, "").status == http.StatusOK
+	})
+}
+
 // stop ends all daemons.
 func (f *fleet) stop() {
 	for _, m := range f.machines {
--- a/review/standin-2/path.go
+++ b/review/standin-2/path.go
@@ -26,6 +26,9 @@
 		m.startWorker(fmt.Sprintf("i-%d", i+1), 9, nil)
 	}
 	f.awaitReady()
+	for _, path := range []string{"/catalogue/plain", "/catalogue/oak/plain"} {
+		f.awaitService(f.machines[0], path)
+	}
 	var broken []string
 	for i, t := range targets {
 		sent := t.plain
@@ -36,6 +39,9 @@
 		c := f.machines[0].newClient()
 		got := c.send(id, http.MethodGet, siteHost, sent, priceDeadline, "")
 		c.close()
+		if !got.signed {
+			r.fail("%s was not served: status %d, error %v", id, got.status, got.err)
+		}
 		for _, m := range f.machines {
 			for _, a := range m.worker.allArrivals() {
 				if a.id != id {
