Review: let all machines be in touch before the cases begin

The rule of cases 6 and 7 counts only machines in touch, and the request of case 6 was taken 1.3 s after the start of its daemon. The scripts wait for StabilityWindowMs now. The stand-ins answer rows-parts and requests without an id.

--- a/review/standin-2/beats.go
+++ b/review/standin-2/beats.go
@@ -10,7 +10,6 @@
 )
 
 const (
-	stabilityWindow = 3 * time.Second
 	// storeSilence is how long the store gives no answer: platform_down of the site, how "silent".
 	storeSilence = 8 * time.Second
 	// restartDelay is the time after which the platform starts a daemon again that was killed.
@@ -29,6 +28,7 @@
 		m.startWorker(fmt.Sprintf("i-%d", i+1), 9, nil)
 	}
 	f.awaitReady()
+	f.awaitInTouch()
 	m := f.machines[0]
 	w := m.worker
 	first, second := w.makeHeartbeat(), w.makeHeartbeat()
@@ -65,7 +65,7 @@
 	deliver(first)
 	arrived := time.Now()
 
-	taken := requestsOf(m, restarted.Add(stabilityWindow), acked.Add(500*time.Millisecond+storeSilence))
+	taken := requestsOf(m, restarted.Add(stabilityWindow+stabilityMargin), acked.Add(500*time.Millisecond+storeSilence))
 	time.Sleep(beatGap - time.Since(arrived))
 	deliver(second)
 	ids, answered := taken()
--- a/review/standin-2/drain.go
+++ b/review/standin-2/drain.go
@@ -59,6 +59,7 @@
 	}
 	f.awaitReady()
 	f.awaitService(f.machines[0], priceSheetPath+"a")
+	f.awaitInTouch()
 	c := f.machines[0].newClient()
 	for i := range 60 { // the daemons keep connections to all workers from now on
 		c.send(fmt.Sprintf("short-%d", i), "GET", siteHost, priceSheetPath+"a", priceDeadline, "")
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -19,7 +19,9 @@
 	graceS        = 6
 	configApplyMs = 2000
 	retrySlack    = 64
-	memoryMb      = 284
+	// stabilityWindow is the time after its start from which a machine is in touch.
+	stabilityWindow = 3 * time.Second
+	memoryMb        = 284
 )
 
 // fleet is a small deployment: a store and machines with a daemon and a worker each.
@@ -30,6 +32,8 @@
 	ports    [5]int // internal, outbound, control, ready, worker
 	store    *store
 	machines []*machine
+	// startedAt is when the last daemon was started.
+	startedAt time.Time
 }
 
 // machine is one machine: a daemon as a process of its own, and the address of a worker.
@@ -63,6 +67,7 @@
 	for _, m := range f.machines {
 		m.start()
 	}
+	f.startedAt = time.Now()
 	return f
 }
 
@@ -209,6 +214,15 @@
 	f.run.log("%s", what)
 }
 
+// awaitInTouch waits until all daemons have run for the stability window.
+func (f *fleet) awaitInTouch() {
+	time.Sleep(time.Until(f.startedAt.Add(stabilityWindow + stabilityMargin)))
+	f.run.log("all machines in touch")
+}
+
+// stabilityMargin is waited beyond the stability window.
+const stabilityMargin = 200 * time.Millisecond
+
 // awaitService waits until a safe request with the path is served at a machine.
 func (f *fleet) awaitService(m *machine, path string) {
 	attempts := 0
--- a/review/standin-2/path.go
+++ b/review/standin-2/path.go
@@ -29,6 +29,7 @@
 	for _, path := range []string{"/catalogue/plain", "/catalogue/oak/plain"} {
 		f.awaitService(f.machines[0], path)
 	}
+	f.awaitInTouch()
 	var broken []string
 	for i, t := range targets {
 		sent := t.plain
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -136,6 +137,8 @@
 		s.serveRange(w, r)
 	case path == "/v1/rows-feed":
 		s.serveFeed(w, r)
+	case path == "/v1/rows-parts":
+		s.serveParts(w, r)
 	case strings.HasPrefix(path, "/v1/blob-"):
 		s.serveBlob(w, r)
 	default:
@@ -188,6 +191,20 @@
 	respondJSON(w, http.StatusOK, map[string]any{"Rows": found[:min(limit, len(found))], "HasMore": more, "Ver": version, "NowMs": s.nowMs()})
 }
 
+func (s *store) serveParts(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	parts := []string{}
+	s.mu.Lock()
+	for key := range s.rows {
+		if key.table == query.Get("Table") && key.part > query.Get("after") && !slices.Contains(parts, key.part) {
+			parts = append(parts, key.part)
+		}
+	}
+	s.mu.Unlock()
+	slices.Sort(parts)
+	respondJSON(w, http.StatusOK, map[string]any{"parts": parts})
+}
+
 func (s *store) serveFeed(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
@@ -228,8 +245,10 @@
 	call, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/blob-"), "/")
 	switch call {
 	case "put":
-		data := make([]byte, max(r.ContentLength, 0))
-		_, _ = r.Body.Read(data)
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
 		s.blobs[name] = data
 	case "get":
 		data, ok := s.blobs[name]
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -147,6 +147,12 @@
 		return
 	}
 	id := request.Header.Get(headerID)
+	writer.Header().Set(headerID, id)
+	if id == "" {
+		writer.Header().Set(headerNotRun, "1")
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if target := request.Header.Get(headerTarget); target != "" && target != w.id {
 		writer.Header().Set(headerInstance, w.id)
 		writer.Header().Set(headerNotRun, "1")
