Tell the reader of a target's response of a reset that a write was told of

What callers saw: a target answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got the part as a complete response.

Cause: a socket reports a reset once, to the call that comes first. The upload is written beside the read of the response. If the write was told of the reset, the read found the socket at its end, as after an orderly close, and the end of the connection is the end of a body without a length. A request body in one frame is written before the response is read, so that its write is always told first.

Change: connections to targets are connreset.Conn.

--- a/mesh/exit/targetconn.go
+++ b/mesh/exit/targetconn.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sassafrasnotch.example/mesh/connreset"
 )
 
 const (
@@ -35,7 +37,7 @@
 // targetConn is a connection to a target with one request in flight. It tracks
 // whether a byte of the request was written.
 type targetConn struct {
-	net.Conn
+	*connreset.Conn
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	reused    bool
@@ -90,7 +92,7 @@
 )
 
 func newTargetConn(conn net.Conn) *targetConn {
-	c := &targetConn{Conn: conn}
+	c := &targetConn{Conn: connreset.Wrap(conn)}
 	c.reader = bufio.NewReader(c)
 	c.writer = bufio.NewWriter(c)
 	return c
--- a/mesh/exit/targetpool.go
+++ b/mesh/exit/targetpool.go
@@ -40,7 +40,7 @@
 // get returns an idle connection that is neither expired nor closed by the target, or opens one; see dial.
 func (p *targetPool) get(ctx context.Context, until time.Time) (*targetConn, error) {
 	for conn := p.pop(); conn != nil; conn = p.pop() {
-		if time.Since(conn.idleSince) < conn.idleTimeout && !idleconn.Stale(conn.Conn) {
+		if time.Since(conn.idleSince) < conn.idleTimeout && !idleconn.Stale(conn.NetConn()) {
 			conn.reused = true
 			return conn, nil
 		}
@@ -107,7 +107,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, conn := range p.idle {
-		if !idleconn.Stale(conn.Conn) {
+		if !idleconn.Stale(conn.NetConn()) {
 			return false
 		}
 	}
--- a/mesh/standin/workerserver/raw.go
+++ b/mesh/standin/workerserver/raw.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -29,3 +30,15 @@
 		_, _ = buffer.ReadByte() // keep the connection open until the daemon closes it
 	}
 }
+
+// respondOnConn has the function respond on the connection and closes it.
+func respondOnConn(writer http.ResponseWriter, respond func(conn *net.TCPConn)) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		respond(tcp)
+	}
+}
--- a/mesh/standin/workerserver/worker.go
+++ b/mesh/standin/workerserver/worker.go
@@ -49,6 +49,9 @@
 	SilentWhenFull bool
 	// AlwaysFail makes the worker respond to every request with its own status 500.
 	AlwaysFail bool
+	// RespondRaw, if not nil, is called for each request before its body is read. If the function that it returns is
+	// not nil, that one responds on the connection, which is closed when it returns.
+	RespondRaw func(request *http.Request) func(conn *net.TCPConn)
 	// ColdDuration is the time for which the worker is cold after its start.
 	ColdDuration time.Duration
 	// HeartbeatInterval is the time between heartbeats.
@@ -252,6 +255,13 @@
 		w.rejectNotExecuted(writer, http.StatusBadRequest)
 		return
 	}
+	if w.config.RespondRaw != nil {
+		if respond := w.config.RespondRaw(request); respond != nil {
+			w.recordExecution(ExecutionRecord{RequestID: id, Method: request.Method, URI: request.URL.RequestURI(), StartedAt: time.Now()})
+			respondOnConn(writer, respond)
+			return
+		}
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
