Reject responses with a space in or behind the name of a header field

What callers saw: a target sent a response in whose head the name of a field held a space, within it or before the colon. The caller got the response without that line; where the line would have framed the body ("Content-Length : 2", "Transfer-Encoding : chunked"), with a body of other bytes than the target's.

Cause: of all bytes that no name of a field may hold, net/http accepts the space when it reads a header. It does not act on such a field, and leaves it out when it writes a header. The exit, the client of the store and the health checks read with net/http; the head of an informational response and the trailer of a chunked body come from the same reader.

The outcome of the request is unknown: its connection is closed, the target counts a failure, and one that may be repeated goes elsewhere. RFC 9112 (5.1) would also allow to remove the space before the colon; a target that sends it can't be relied on to have framed its body by that field. Lines that begin with a space or tab still continue the line before them.

Names with control bytes, NUL, DEL, a tab, a carriage return or no byte were rejected before; their rows are kept.

--- a/integration/platform_broken_test.go
+++ b/integration/platform_broken_test.go
@@ -159,3 +159,60 @@
 		}
 	}
 }
+
+// checkBrokenHeads has all workers respond with the lines in front of a body that looks like a success, with and without
+// a length. No caller may get a response, and a request that may not be repeated runs once.
+func checkBrokenHeads(t *testing.T, p *platformCluster, respond *atomic.Pointer[func(*net.TCPConn, *http.Request)], heads map[string]string) {
+	t.Helper()
+	for name, head := range heads {
+		for framing, field := range map[string]string{"length": "Content-Length: 4\r\n", "no length": ""} {
+			t.Run(name+"/"+framing, func(t *testing.T) {
+				is := is.New(t)
+				function := func(conn *net.TCPConn, request *http.Request) {
+					_, _ = io.WriteString(conn, head+field+signedFields(request)+"\r\nswan")
+				}
+				respond.Store(&function)
+				safe, unsafe := make([]callerResult, len(p.Daemons)), make([]callerResult, len(p.Daemons))
+				var requests sync.WaitGroup
+				for i, d := range p.Daemons {
+					requests.Go(func() { safe[i] = p.send(d, http.MethodGet, "/safe/broken", "") })
+					requests.Go(func() { unsafe[i] = p.send(d, http.MethodPost, "/unsafe/broken", "a swan") })
+				}
+				requests.Wait()
+				for i := range p.Daemons {
+					is.NoErr(safe[i].err)
+					is.Equal(safe[i].status, http.StatusBadGateway)
+					is.True(len(p.runs(safe[i].id)) >= 1)
+					is.NoErr(unsafe[i].err)
+					is.Equal(unsafe[i].status, http.StatusBadGateway)
+					is.Equal(len(p.runs(unsafe[i].id)), 1)
+				}
+			})
+		}
+	}
+	respond.Store(nil)
+	p.eventually(applyWithin, "requests are served again", func() error {
+		if a := p.send(p.Daemons[0], http.MethodGet, "/safe/after", ""); !a.complete() {
+			return fmt.Errorf("status %d: %w", a.status, a.err)
+		}
+		return nil
+	})
+}
+
+// Guards against a worker's response with a line that is left out since the name of its field is none: the rest is
+// not the worker's response, and its body may be another.
+func TestResponsesWithInvalidFieldNames(t *testing.T) {
+	t.Parallel()
+	p := startPlatformCluster(t)
+	respond := rawWorkers(p)
+	heads := make(map[string]string)
+	for name, line := range map[string]string{
+		"space": "X Kind: swan", "space before the colon": "X-Kind : swan", "length": "Content-Length : 2", "encoding": "Transfer-Encoding : chunked",
+		"tab": "X\tKind: swan", "tab before the colon": "X-Kind\t: swan", "control byte": "X\x01Kind: swan", "NUL": "X\x00Kind: swan",
+		"DEL": "X\x7fKind: swan", "carriage return": "X\rKind: swan", "empty": ": swan",
+	} {
+		heads[name] = "HTTP/1.1 200 OK\r\n" + line + "\r\n"
+		heads[name+", informational"] = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200 OK\r\n"
+	}
+	checkBrokenHeads(t, p, respond, heads)
+}
--- a/mesh/entry/entry_test.go
+++ b/mesh/entry/entry_test.go
@@ -24,6 +24,10 @@
 	short := sendsFrames(func(attempt uint64) []*peerpb.CallFrame {
 		return []*peerpb.CallFrame{responseFrame(attempt, &peerpb.AnswerHead{Status: 200, ContentLength: 9, InlineBody: []byte("x"), Complete: true})}
 	})
+	badField := sendsFrames(func(attempt uint64) []*peerpb.CallFrame {
+		fields := []*peerpb.Header{{Name: "Content-Length ", Value: "1"}}
+		return []*peerpb.CallFrame{responseFrame(attempt, &peerpb.AnswerHead{Status: 200, Headers: fields, ContentLength: 1, InlineBody: []byte("x"), Complete: true})}
+	})
 	noHead := sendsFrames(func(attempt uint64) []*peerpb.CallFrame {
 		return []*peerpb.CallFrame{dataFrame(attempt, "x")}
 	})
@@ -53,6 +57,8 @@
 		{"response of another attempt, may not be repeated", "/order", twoHosts(crossed, good), 502, "unknown", ReasonInvalidResponse, 1},
 		{"response of another attempt, idempotent", "/catalog", twoHosts(crossed, good), 200, "answered", "", 2},
 		{"short response", "/order", twoHosts(short, good), 502, "unknown", ReasonInvalidResponse, 1},
+		{"invalid field name", "/order", twoHosts(badField, good), 502, "unknown", ReasonInvalidResponse, 1},
+		{"invalid field name, idempotent", "/catalog", twoHosts(badField, good), 200, "answered", "", 2},
 		{"data before the head", "/order", twoHosts(noHead, good), 502, "unknown", ReasonInvalidResponse, 1},
 		{"no route", "/nothing", twoHosts(good, good), 404, "refused", ReasonNoRoute, 0},
 		{"dot segment", "/catalog/%2e%2e/order", twoHosts(good, good), 400, "refused", ReasonBadRequest, 0},
--- a/mesh/entry/response.go
+++ b/mesh/entry/response.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"sassafrasnotch.example/coord/retry"
+	"sassafrasnotch.example/mesh/fieldname"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
 
@@ -50,6 +51,11 @@
 	if head.GetStatus() < http.StatusOK || head.GetStatus() > 599 {
 		return "the response status is outside 200 to 599"
 	}
+	for _, field := range head.GetHeaders() {
+		if !fieldname.Valid(field.GetName()) {
+			return fieldname.ErrInvalid.Error()
+		}
+	}
 	length := head.GetContentLength()
 	if head.GetComplete() && e.hasBody(head) && length >= 0 && length != int64(len(head.GetInlineBody())) {
 		return "the length of the response body differs from its Content-Length"
--- a/mesh/exit/held.go
+++ b/mesh/exit/held.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/mesh/admin"
+	"sassafrasnotch.example/mesh/fieldname"
 )
 
 const (
@@ -112,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := transport.RoundTrip(request)
+	response, err := fieldname.RoundTrip(transport, request)
 	if err != nil {
 		return nil, err
 	}
--- a/mesh/exit/held_test.go
+++ b/mesh/exit/held_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -43,6 +44,18 @@
 	return fx
 }
 
+// respondRaw returns a handler that responds with the bytes and closes the connection.
+func respondRaw(response string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, response)
+	}
+}
+
 func (fx *fixture) announceNext() {
 	fx.t.Helper()
 	fx.announced.Sequence++
@@ -112,6 +125,10 @@
 		{"leaves", respond(503, "t1"), false},
 		{"another target", respond(200, "t2"), false},
 		{"no name", respond(200, ""), false},
+		{"invalid field name", respondRaw("HTTP/1.1 200 OK\r\nX-Instance: t1\r\nX Kind: swan\r\nContent-Length: 0\r\n\r\n"), false},
+		{"invalid field name before the response", respondRaw("HTTP/1.1 103 Early Hints\r\nX-Kind : swan\r\n\r\n" +
+			"HTTP/1.1 200 OK\r\nX-Instance: t1\r\nContent-Length: 0\r\n\r\n"), false},
+		{"informational response first", respondRaw("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Instance: t1\r\nContent-Length: 0\r\n\r\n"), true},
 		{"without end", func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("X-Instance", "t1")
 			for r.Context().Err() == nil {
--- a/mesh/exit/response.go
+++ b/mesh/exit/response.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 
+	"sassafrasnotch.example/mesh/fieldname"
 	"sassafrasnotch.example/mesh/peer"
 	"sassafrasnotch.example/mesh/peer/peerpb"
 )
@@ -41,7 +42,7 @@
 	if length := response.ContentLength; length >= 0 && length <= peer.MaxInlineBody {
 		return c.relayInline(response.Body, (*buffer)[:length])
 	}
-	return c.relayStream(response.Body, *buffer)
+	return c.relayStream(response, *buffer)
 }
 
 func (c *callerRequest) checkResponse(response *http.Response) error {
@@ -128,7 +129,7 @@
 }
 
 // relayStream sends a long response in data frames as they arrive from the target.
-func (c *callerRequest) relayStream(body io.Reader, buffer []byte) result {
+func (c *callerRequest) relayStream(response *http.Response, buffer []byte) result {
 	if err := c.stream.SetDeadline(c.deadline.Add(outcomeSendGrace)); err != nil {
 		return result{kind: callerGone}
 	}
@@ -138,12 +139,15 @@
 	data := &peerpb.CallFrame_Data{}
 	frame := &peerpb.CallFrame{Body: data}
 	for {
-		n, readErr := body.Read(buffer)
+		n, readErr := response.Body.Read(buffer)
 		data.Data = buffer[:n]
 		if n > 0 && c.stream.Send(frame) != nil {
 			return result{kind: callerGone}
 		}
 		if errors.Is(readErr, io.EOF) {
+			if err := fieldname.Check(response.Trailer); err != nil {
+				return c.reportFailure("read trailer", err)
+			}
 			return c.endStream()
 		}
 		if readErr != nil {
--- a/mesh/exit/status_test.go
+++ b/mesh/exit/status_test.go
@@ -77,8 +77,15 @@
 // checkNoResponse has a target respond with the bytes. The request must fail with an unknown outcome at once,
 // and the connection must not be used again.
 func checkNoResponse(t *testing.T, response string, reused bool) {
+	t.Helper()
+	checkNoResponseBy(t, exit.DefaultConventions, response, reused)
+}
+
+// checkNoResponseBy is like checkNoResponse with conventions of the target.
+func checkNoResponseBy(t *testing.T, conventions exit.Conventions, response string, reused bool) {
+	t.Helper()
 	is := is.New(t)
-	fx := newFixture(t)
+	fx := newFixtureOf(t, []exit.Option{exit.WithConventions(conventions)})
 	var connections, requestsServed atomic.Int64
 	fx.rawTarget(func(conn net.Conn, requests *bufio.Reader) {
 		for used := false; ; used = true {
@@ -118,8 +125,8 @@
 }
 
 // FuzzResponseHead compares what the exit takes for a response with net/http: it accepts nothing that net/http
-// rejects, and is stricter about the status (three digits from 100 to 599) and about bodies of informational
-// responses.
+// rejects, and is stricter about the status (three digits from 100 to 599), about bodies of informational
+// responses and about names of fields.
 func FuzzResponseHead(f *testing.F) {
 	for _, status := range invalidStatuses {
 		f.Add([]byte(status.head + "Content-Length: 2\r\n\r\nno"))
@@ -129,6 +136,10 @@
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 101 Switching Protocols\r\n\r\n"))
 	f.Add([]byte("HTTP/1.0 599 Last\r\n\r\n"))
+	for _, line := range invalidFields {
+		f.Add([]byte("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\nok"))
+		f.Add([]byte("HTTP/1.1 100 Continue\r\n" + line + "\r\n\r\n" + strayResponse))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		status, err := exit.ReceiveStatus(data)
 		if err != nil {
@@ -143,6 +154,11 @@
 			if err != nil {
 				t.Fatalf("status %d accepted, net/http: %v", status, err)
 			}
+			for name := range response.Header {
+				if strings.Contains(name, " ") {
+					t.Fatalf("field %q accepted", name)
+				}
+			}
 			if response.StatusCode == status {
 				return
 			}
--- a/mesh/exit/targetconn.go
+++ b/mesh/exit/targetconn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sassafrasnotch.example/mesh/connreset"
+	"sassafrasnotch.example/mesh/fieldname"
 )
 
 const (
@@ -192,7 +193,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := checkStatus(response); err != nil {
+		if err := checkHead(response); err != nil {
 			return nil, err
 		}
 		if isFinal(response.StatusCode) {
@@ -209,9 +210,12 @@
 	maxStatus = 599
 )
 
-// checkStatus returns an error for a response that is none in HTTP. What follows on its connection can't be
+// checkHead returns an error for a response that is none in HTTP. What follows on its connection can't be
 // told apart from its body, so that the connection is of no further use.
-func checkStatus(response *http.Response) error {
+func checkHead(response *http.Response) error {
+	if err := fieldname.Check(response.Header); err != nil {
+		return err
+	}
 	switch {
 	case response.StatusCode < minStatus || response.StatusCode > maxStatus:
 		return errInvalidStatus
