--- a/integration/platform_broken_test.go
+++ b/integration/platform_broken_test.go
@@ -216,3 +216,16 @@
 	}
 	checkBrokenHeads(t, p, respond, heads)
 }
+
+// Guards against a worker's response whose status is none, and that reaches a caller.
+func TestResponsesWithInvalidStatuses(t *testing.T) {
+	t.Parallel()
+	p := startPlatformCluster(t)
+	respond := rawWorkers(p)
+	heads := make(map[string]string)
+	for _, status := range []string{"000", "099", "600", "999", "-20", "+20", "0200", "20", "2 0"} {
+		heads[status] = "HTTP/1.1 " + status + " Status\r\n"
+		heads[status+", no reason"] = "HTTP/1.1 " + status + "\r\n"
+	}
+	checkBrokenHeads(t, p, respond, heads)
+}
