Start no pipelined request early whose header net/http refuses

What callers saw: a request that may be repeated, pipelined behind another one and with a space in or behind the name of a field, was answered with 400, and ran at a target all the same, without that line.

The early start parses requests with http.ReadRequest, which accepts a space in a name; only the server of net/http refuses it, when the request has its turn.

Change: such a request is not started early, nor are those behind it. It gets its 400 from the server, as one that comes alone.

Evidence: 2 of 12 rows of TestRequestWithAnInvalidFieldNameIsNotDispatched failed before, those with a space behind another request. The rows of requests that come alone, with control bytes, and with a spaced Content-Length (never started early) passed before and after.

--- a/mesh/entry/pipeline_test.go
+++ b/mesh/entry/pipeline_test.go
@@ -392,3 +392,27 @@
 		})
 	}
 }
+
+// Guards against a request that is refused for the name of a field, and runs all the same since it was started early.
+func TestRequestWithAnInvalidFieldNameIsNotDispatched(t *testing.T) {
+	for _, line := range []string{"X Kind: swan", "X-Kind : swan", "Content-Length : 0", "X\tKind: swan", "X\x01Kind: swan", ": swan"} {
+		for _, earlier := range []string{"", get("/catalog/slow")} {
+			t.Run(fmt.Sprintf("%q behind %q", line, earlier), func(t *testing.T) {
+				p := newPipelineTest(t)
+				p.send(earlier, "GET /catalog/bad HTTP/1.1\r\nHost: x\r\n"+line+"\r\n\r\n", get("/catalog/fast"))
+				if earlier != "" {
+					waitFor(t, p.host.is(p.host.running, "/catalog/slow"))
+					time.Sleep(20 * time.Millisecond)
+					p.host.release("/catalog/slow")
+					p.expect("/catalog/slow")
+				}
+				response, err := http.ReadResponse(p.reader, nil)
+				p.is.NoErr(err)
+				p.is.Equal(response.StatusCode, http.StatusBadRequest)
+				_, _ = io.Copy(io.Discard, response.Body)
+				p.expectClosed()
+				p.is.Equal(p.f.hosts.dispatched(), strings.Count(earlier, "GET"))
+			})
+		}
+	}
+}
--- a/mesh/entry/prefetch.go
+++ b/mesh/entry/prefetch.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"sassafrasnotch.example/coord/revision"
+	"sassafrasnotch.example/mesh/fieldname"
 )
 
 const (
@@ -57,7 +58,7 @@
 			return
 		}
 		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(data[:length])))
-		if err != nil || request.Close || !request.ProtoAtLeast(1, 1) || !c.entry.mayPrefetch(request) {
+		if err != nil || fieldname.Check(request.Header) != nil || request.Close || !request.ProtoAtLeast(1, 1) || !c.entry.mayPrefetch(request) {
 			return
 		}
 		releaseMemory := c.account.Spare(prefetchBytes + headMemory(request))
--- a/mesh/fieldname/fieldname.go
+++ b/mesh/fieldname/fieldname.go
@@ -1,4 +1,4 @@
-// Package fieldname rejects responses with header fields whose names are no tokens (RFC 9110, section 5.1). net/http
+// Package fieldname rejects messages with header fields whose names are no tokens (RFC 9110, section 5.1). net/http
 // accepts a space within a name or behind it: it neither acts on such a field nor passes it on.
 package fieldname
 
@@ -17,13 +17,13 @@
 var (
 	// ErrInvalid means that the name of a field is no token. A field that it was meant to be may have framed the
 	// body, so that neither the body nor what follows on the connection can be relied on.
-	ErrInvalid = errors.New("the response has a header field with an invalid name")
+	ErrInvalid = errors.New("a header field has an invalid name")
 
 	errInformational = errors.New("too many informational responses")
 )
 
-// Check returns ErrInvalid if the name of a field in the header or trailer of a response is no token. Fields without a
-// value, which a Trailer field only announces, are not checked.
+// Check returns ErrInvalid if the name of a field in a header or trailer, as net/http has read it, is no token. Fields
+// without a value, which a Trailer field only announces, are not checked.
 func Check(fields map[string][]string) error {
 	for name, values := range fields {
 		if len(values) > 0 && !Valid(name) {
