--- a/mesh/entry/prefetch.go
+++ b/mesh/entry/prefetch.go
@@ -58,7 +58,10 @@
 			return
 		}
 		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(data[:length])))
-		if err != nil || fieldname.Check(request.Header) != nil || request.Close || !request.ProtoAtLeast(1, 1) || !c.entry.mayPrefetch(request) {
+		if err != nil || fieldname.Check(request.Header) != nil {
+			return // the server refuses it when it has its turn
+		}
+		if request.Close || !request.ProtoAtLeast(1, 1) || !c.entry.mayPrefetch(request) {
 			return
 		}
 		releaseMemory := c.account.Spare(prefetchBytes + headMemory(request))
