Let a worker of the tests start again while other processes are started

Cause: between fork and exec, a child process holds a copy of every descriptor of the test, also of a listener that is closed meanwhile. Tests that run in parallel start daemons all the time. The port is outside of those that the kernel gives out, so that no outgoing connection had it.

Change: the stand-in waits up to a second for an address that is in use.

--- a/mesh/standin/workerserver/worker.go
+++ b/mesh/standin/workerserver/worker.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"sassafrasnotch.example/platform/wire"
@@ -97,7 +99,7 @@
 
 // Start starts a worker that runs until Stop.
 func Start(config Config) (*Worker, error) {
-	listener, err := net.Listen("tcp", config.Listen)
+	listener, err := listen(config.Listen)
 	if err != nil {
 		return nil, err
 	}
@@ -118,6 +120,20 @@
 	return w, nil
 }
 
+// releaseTimeout bounds the time for which the address of a worker that was stopped may still be in use.
+const releaseTimeout = time.Second
+
+// listen waits for an address that is in use: a child process that has been forked and not yet executed its program
+// holds a copy of the listener of an earlier worker.
+func listen(address string) (net.Listener, error) {
+	for deadline := time.Now().Add(releaseTimeout); ; time.Sleep(time.Millisecond) {
+		listener, err := net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return listener, err
+		}
+	}
+}
+
 // Stop ends the worker at once, as a crash does.
 func (w *Worker) Stop() {
 	w.cancel()
