Start the raw workers of the broken responses with their cluster

The workers were stopped and started again, which the loss of an address can fail, and rows that ran as parallel subtests waited for the other tests with their daemons running, up to 188 s. The workers get their responses when the cluster starts, and the requests of eight rows are sent at once.

--- a/integration/platform_broken_test.go
+++ b/integration/platform_broken_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"path"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -48,20 +49,16 @@
 // response for it, and whose routes have uploadTimeout.
 func startRawCluster(t *testing.T, responses map[string]rawResponse) *platformCluster {
 	t.Helper()
-	p := startPlatformCluster(t)
-	for _, d := range p.Daemons {
-		p.workers[d.Settings.Host].Stop()
-		p.workers[d.Settings.Host] = d.StartWorker("r-"+d.Settings.Host, "v1", func(config *workerserver.Config) {
-			config.Slots = 4 * uploadsAtOnce
-			config.RespondRaw = func(request *http.Request) func(*net.TCPConn) {
-				respond := responses[path.Base(request.URL.Path)]
-				if respond == nil {
-					return nil
-				}
-				return func(conn *net.TCPConn) { respond(conn, request) }
+	p := startPlatformClusterOf(t, func(config *workerserver.Config) {
+		config.Slots = 4 * uploadsAtOnce
+		config.RespondRaw = func(request *http.Request) func(*net.TCPConn) {
+			respond := responses[path.Base(request.URL.Path)]
+			if respond == nil {
+				return nil
 			}
-		})
-	}
+			return func(conn *net.TCPConn) { respond(conn, request) }
+		}
+	})
 	config := testConfig(4)
 	for i := range config.Routes {
 		config.Routes[i].TimeoutMs = uploadTimeout.Milliseconds()
@@ -174,40 +171,56 @@
 	}
 }
 
+// headRow is a response with a broken head, and what callers got in its place.
+type headRow struct {
+	name, segment string
+	safe, unsafe  []callerResult
+}
+
+// headRowsAtOnce is the number of rows whose requests are sent at the same time.
+const headRowsAtOnce = 8
+
 // checkBrokenHeads has workers respond with the lines in front of a body that looks like a success, with and without a
 // length. No caller may get a response, and a request that may not be repeated runs once.
 func checkBrokenHeads(t *testing.T, heads map[string]string) {
 	t.Helper()
 	responses := make(map[string]rawResponse)
-	names := make(map[string]string) // of the rows, by the last segment of the path
+	var rows []*headRow
 	for name, head := range heads {
 		for framing, field := range map[string]string{"length": "Content-Length: 4\r\n", "no length": ""} {
-			segment := fmt.Sprint("head-", len(responses))
-			names[segment] = name + "/" + framing
-			responses[segment] = func(conn *net.TCPConn, request *http.Request) {
+			row := &headRow{name: name + ", " + framing, segment: fmt.Sprint("head-", len(rows))}
+			rows = append(rows, row)
+			responses[row.segment] = func(conn *net.TCPConn, request *http.Request) {
 				_, _ = io.WriteString(conn, head+field+signedFields(request)+"\r\nswan")
 			}
 		}
 	}
 	p := startRawCluster(t, responses)
-	t.Run("heads", func(t *testing.T) {
-		for segment, name := range names {
-			t.Run(name, func(t *testing.T) {
-				t.Parallel()
-				is := is.New(t)
+	for some := range slices.Chunk(rows, headRowsAtOnce) {
+		var requests sync.WaitGroup
+		for _, row := range some {
+			requests.Go(func() {
 				for _, d := range p.Daemons[:2] { // beside a worker of the service, and beside another one
-					safe := p.send(d, http.MethodGet, "/safe/"+segment, "")
-					is.NoErr(safe.err)
-					is.Equal(safe.status, http.StatusBadGateway)
-					is.True(len(p.runs(safe.id)) >= 1)
-					unsafe := p.send(d, http.MethodPost, "/unsafe/"+segment, "a swan")
-					is.NoErr(unsafe.err)
-					is.Equal(unsafe.status, http.StatusBadGateway)
-					is.Equal(len(p.runs(unsafe.id)), 1)
+					row.safe = append(row.safe, p.send(d, http.MethodGet, "/safe/"+row.segment, ""))
+					row.unsafe = append(row.unsafe, p.send(d, http.MethodPost, "/unsafe/"+row.segment, "a swan"))
 				}
 			})
 		}
-	})
+		requests.Wait()
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			for _, a := range slices.Concat(row.safe, row.unsafe) {
+				is.NoErr(a.err)
+				is.Equal(a.status, http.StatusBadGateway)
+				is.True(len(p.runs(a.id)) >= 1)
+			}
+			for _, a := range row.unsafe {
+				is.Equal(len(p.runs(a.id)), 1)
+			}
+		})
+	}
 	p.eventually(applyWithin, "requests are served again", func() error { return p.served(p.Daemons[0]) })
 }
 
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -44,6 +44,13 @@
 // startPlatformCluster starts a system of six daemons and waits until they serve requests. The functions change
 // the settings of each daemon.
 func startPlatformCluster(t *testing.T, adjust ...func(*settings.Settings)) *platformCluster {
+	t.Helper()
+	return startPlatformClusterOf(t, nil, adjust...)
+}
+
+// startPlatformClusterOf is like startPlatformCluster. The function adjustWorker, if not nil, changes the configuration of
+// each worker.
+func startPlatformClusterOf(t *testing.T, adjustWorker func(*workerserver.Config), adjust ...func(*settings.Settings)) *platformCluster {
 	t.Helper()
 	p := &platformCluster{t: t, workers: make(map[string]*workerserver.Worker), client: &http.Client{Transport: &http.Transport{
 		DisableCompression: true, MaxIdleConnsPerHost: 64,
@@ -61,7 +68,7 @@
 		}
 	}})
 	for _, d := range p.Daemons {
-		p.workers[d.Settings.Host] = d.StartWorker("i-"+d.Settings.Host, "v1", nil)
+		p.workers[d.Settings.Host] = d.StartWorker("i-"+d.Settings.Host, "v1", adjustWorker)
 	}
 	p.WriteOperatorRow(wire.KeyConfig, testConfig(3))
 	for _, d := range p.Daemons {
