--- a/review/standin-3/main.go
+++ b/review/standin-3/keyed/main.go
@@ -1,4 +1,4 @@
-// Command review3 plays the scripted cases of the third review: it starts the programs of the deploy file on loopback
+// Command keyed plays the case with keyed requests of the third review: it starts the programs of the deploy file on loopback
 // addresses, with stand-ins for the platform, the workers and the requesters.
 package main
 
@@ -22,7 +22,7 @@
 
 func main() {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: review3 CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: keyed CASE RECORD")
 		os.Exit(notRun)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
