--- a/review/standin-3/crash/cases.go
+++ b/review/standin-3/crash/cases.go
@@ -10,21 +10,24 @@
 )
 
 const (
-	siteHost  = "kerbrat.example"
-	stockPath = "/stock/"
-	// The figures of block-stock on the site.
-	stockTimeoutMs   = 800
-	stockObjectiveMs = 400
-	stockDeadline    = 1500 * time.Millisecond
-	// crashPath is the path of the request that crashes workers.
-	crashPath = "/stock/blocks"
-	// stockWork is the mean work of block-stock on the site. A worker crashes at its end.
-	stockWork = 150 * time.Millisecond
-	slots     = 12
+	siteHost = "kerbrat.example"
+	slots    = 12
 	// maxRetries is the number of retries that may reach workers, by the rule.
 	maxRetries = 3
 )
 
+// kind is a kind of requests with the figures of the site. A worker crashes at the end of the work.
+type kind struct {
+	name, prefix, path     string
+	timeoutMs, objectiveMs int
+	deadline, work         time.Duration // work is the mean
+}
+
+var (
+	blockStock = kind{"block-stock", "/stock/", "/stock/blocks", 800, 400, 1500 * time.Millisecond, 150 * time.Millisecond}
+	routeSheet = kind{"route-sheet", "/routes/", "/routes/tomorrow", 1200, 600, 2500 * time.Millisecond, 240 * time.Millisecond}
+)
+
 func route(name, path, kind, service string, timeoutMs, targetMs int) map[string]any {
 	return map[string]any{
 		"Name": name, "Host": siteHost, "PathPrefix": path, "Kind": kind, "TimeoutMs": timeoutMs,
@@ -50,20 +53,20 @@
 // studios is the number of machines of carving-studio, desks that of order-desk, unless a case has other ones.
 const studios, desks = 6, 2
 
-// startKerbrat starts machines of both services. The workers crash at the requests for crashPath that crashes selects by
-// the service of the machine where they began.
-func startKerbrat(r *run, studios, desks int, crashes func(caller string) bool) *fleet {
+// startKerbrat starts machines of both services. The workers crash at the requests of the kind that crashes selects by the
+// service of the machine where they began.
+func startKerbrat(r *run, studios, desks int, k kind, crashes func(caller string) bool) *fleet {
 	services := append(slices.Repeat([]string{"carving-studio"}, studios), slices.Repeat([]string{"order-desk"}, desks)...)
 	f := startFleet(r, services)
-	f.store.put("op", "config", config(3, []any{route("block-stock", stockPath, "safe", "carving-studio", stockTimeoutMs, stockObjectiveMs)}, "carving-studio", "order-desk"))
+	f.store.put("op", "config", config(3, []any{route(k.name, k.prefix, "safe", "carving-studio", k.timeoutMs, k.objectiveMs)}, "carving-studio", "order-desk"))
 	plan := func(path, caller string) task {
-		return task{work: stockWork, crash: path == crashPath && crashes(caller)}
+		return task{work: k.work, crash: path == k.path && crashes(caller)}
 	}
 	for i, m := range f.machines {
 		m.startWorker(fmt.Sprintf("i-%d", i+1), slots, plan)
 	}
 	f.awaitReady()
-	f.awaitService(f.machines[0], "/stock/plain")
+	f.awaitService(f.machines[0], k.prefix+"plain")
 	f.awaitInTouch()
 	return f
 }
@@ -118,7 +121,7 @@
 // samePath sends a request that crashes workers from the machines of order-desk, again and again, while requesters at
 // machines of carving-studio send requests of their own with the same path, which crash nothing.
 func samePath(r *run) string {
-	f := startKerbrat(r, studios, desks, func(caller string) bool { return r.trouble && caller == "order-desk" })
+	f := startKerbrat(r, studios, desks, blockStock, func(caller string) bool { return r.trouble && caller == "order-desk" })
 	const length = 30 * time.Second
 	end := time.Now().Add(length)
 	var requesters sync.WaitGroup
@@ -129,7 +132,7 @@
 			c := m.newClient()
 			defer c.close()
 			for n := 0; time.Now().Before(end); n++ {
-				got := c.exchange(fmt.Sprintf("other-%d-%d", i+1, n), http.MethodGet, siteHost, crashPath, stockDeadline, "")
+				got := c.exchange(fmt.Sprintf("other-%d-%d", i+1, n), http.MethodGet, siteHost, blockStock.path, blockStock.deadline, "")
 				mu.Lock()
 				others++
 				if got.status == http.StatusOK && got.signed {
@@ -161,7 +164,7 @@
 		}
 		s := sent{fmt.Sprintf("again-%d", n+1), time.Now(), m}
 		requests = append(requests, s)
-		c.send(s.id, http.MethodGet, siteHost, crashPath, stockDeadline, "")
+		c.send(s.id, http.MethodGet, siteHost, blockStock.path, blockStock.deadline, "")
 		c.close()
 		time.Sleep(time.Until(s.at.Add(interval)))
 	}
@@ -171,7 +174,7 @@
 // quarantineEnd sends a request that crashes workers again and again from one requester at each machine, over more than a
 // minute.
 func quarantineEnd(r *run) string {
-	f := startKerbrat(r, studios, desks, func(string) bool { return r.trouble })
+	f := startKerbrat(r, studios, desks, routeSheet, func(string) bool { return r.trouble })
 	const (
 		length   = 75 * time.Second
 		interval = 250 * time.Millisecond
@@ -188,7 +191,7 @@
 			time.Sleep(rand.N(interval))
 			for n := 0; time.Now().Before(end); n++ {
 				s := sent{fmt.Sprintf("again-%d-%d", i+1, n+1), time.Now(), m}
-				got := c.exchange(s.id, http.MethodGet, siteHost, crashPath, stockDeadline, "")
+				got := c.exchange(s.id, http.MethodGet, siteHost, routeSheet.path, routeSheet.deadline, "")
 				mu.Lock()
 				requests = append(requests, s)
 				answers[got.status]++
@@ -204,14 +207,14 @@
 
 // freshKeys sends a request that crashes workers again and again, each time with an idempotency key of its own.
 func freshKeys(r *run) string {
-	f := startKerbrat(r, studios, desks, func(string) bool { return r.trouble })
+	f := startKerbrat(r, studios, desks, blockStock, func(string) bool { return r.trouble })
 	return judge(r, f, sendAgain(f.machines, time.Now().Add(30*time.Second), 2*time.Second, true))
 }
 
 // restarts sends a request that crashes workers again and again while all daemons are stopped and started in turn, several
 // times over. The workers go on. The restarts are the disruption; the requests crash workers without them too.
 func restarts(r *run) string {
-	f := startKerbrat(r, 3, 0, func(string) bool { return true })
+	f := startKerbrat(r, 3, 0, blockStock, func(string) bool { return true })
 	const (
 		rounds   = 5
 		gap      = 2 * time.Second // between the stops of two daemons
